--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+
+.PHONY: demo test check format bench
+
+demo: $(VENV)/.stamp
+	$(BIN)/zincwell demo
+
+test: check
+	$(BIN)/pytest -q
+
+check: $(VENV)/.stamp
+	$(BIN)/black --check --quiet zincwell tests bench
+	$(BIN)/ruff check zincwell tests bench
+
+format: $(VENV)/.stamp
+	$(BIN)/black --quiet zincwell tests bench
+	$(BIN)/ruff check --fix zincwell tests bench
+
+$(VENV)/.stamp: pyproject.toml constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -e '.[dev]'
+	touch $@
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load and measuring tool."""
--- /dev/null
+++ b/tests/session.py
@@ -0,0 +1,47 @@
+"""Records a session as text for a golden file, with all that varies masked."""
+
+from __future__ import annotations
+
+import json
+import re
+from typing import Any
+
+UUID = re.compile(r"\b[0-9a-f]{32}\b")
+MASKED_FIELDS = {"created_at", "at"}
+
+
+class Session:
+    """What went between callers and entries, in order, and what workers started."""
+
+    def __init__(self) -> None:
+        self._lines: list[str] = []
+
+    def sent(self, actor: str, to: str, message: Any) -> None:
+        self._lines.append(f"{actor} -> {to}: {_text(message)}")
+
+    def answered(self, actor: str, by: str, status: int, message: Any) -> None:
+        self._lines.append(f"{actor} <- {by}: {status} {_text(message)}")
+
+    def note(self, text: str) -> None:
+        self._lines.append(f"-- {text}")
+
+    def ledger(self, starts: list[dict]) -> None:
+        """Note the starts; which worker and in which order differs from run to run."""
+        names = sorted(_text(start["id"].rpartition(".")[0]) for start in starts)
+        self._lines.append(f"-- {len(names)} starts at the workers")
+        self._lines += [f"started {name}" for name in names]
+
+    def text(self) -> str:
+        return "\n".join(self._lines) + "\n"
+
+
+def _text(message: Any) -> str:
+    return UUID.sub("<id>", json.dumps(_masked(message), sort_keys=True))
+
+
+def _masked(value: Any) -> Any:
+    if isinstance(value, dict):
+        return {k: "<time>" if k in MASKED_FIELDS else _masked(v) for k, v in value.items()}
+    if isinstance(value, list):
+        return [_masked(item) for item in value]
+    return value
--- /dev/null
+++ b/zincwell/adapters/__init__.py
@@ -0,0 +1,14 @@
+"""Adapters that serve the ports over HTTP with JSON, and the system's clock."""
+
+from zincwell.adapters._clock import SystemClock
+from zincwell.adapters._peer import HttpPeerTransport
+from zincwell.adapters._platform import HttpLogService, HttpVmDirectory
+from zincwell.adapters._worker import HttpWorkerTransport
+
+__all__ = [
+    "HttpLogService",
+    "HttpPeerTransport",
+    "HttpVmDirectory",
+    "HttpWorkerTransport",
+    "SystemClock",
+]
--- /dev/null
+++ b/zincwell/adapters/_peer.py
@@ -0,0 +1,36 @@
+"""Messages between entries over HTTP."""
+
+from __future__ import annotations
+
+import aiohttp
+
+from zincwell.adapters._platform import HTTP_OK, NETWORK_ERRORS
+from zincwell.exceptions import PeerUnavailableError
+from zincwell.ports import PeerTransport
+
+KEY_HEADER = "X-Zincwell-Key"
+
+
+class HttpPeerTransport(PeerTransport):
+    """Peers reached by POST at their listener for peers.
+
+    :param key: shared key that each call proves; empty for none.
+    """
+
+    def __init__(self, *, session: aiohttp.ClientSession, key: str):
+        self._session = session
+        self._headers = {KEY_HEADER: key} if key else {}
+
+    async def call(self, *, url: str, path: str, body: bytes, timeout_s: float) -> bytes:
+        """Send one message and return the answer."""
+        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        try:
+            async with self._session.post(
+                url + path, data=body, headers=self._headers, timeout=timeout
+            ) as response:
+                raw = await response.read()
+        except NETWORK_ERRORS as error:
+            raise PeerUnavailableError(f"{url}{path}: {error!r}") from error
+        if response.status != HTTP_OK:
+            raise PeerUnavailableError(f"{url}{path} answered {response.status}")
+        return raw
--- /dev/null
+++ b/zincwell/core/__init__.py
@@ -0,0 +1,1 @@
+"""The dispatcher itself: ownership of keys, queues, placement, limits, configuration."""
--- /dev/null
+++ b/zincwell/core/_configuration.py
@@ -0,0 +1,170 @@
+"""The configuration in force, folded from operators' changes on the log.
+
+What goes wrong without it: two operators publish from the same version, half of the entries
+take one document and half the other; or a lost answer makes an operator publish again, and
+a change made in between is undone. Every entry folds the same records by the same rule: a
+change whose base is not the version in force is rejected, and so is one already seen.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import OrderedDict
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+
+from zincwell.core._follow import Fold
+from zincwell.document import Document, parse_document
+from zincwell.exceptions import DocumentError
+from zincwell.ports import Record
+
+STREAM = "config"
+KEPT_VERDICTS = 1_000
+
+log = logging.getLogger("zincwell.configuration")
+
+
+class Change(Struct, frozen=True, kw_only=True, tag_field="kind", tag="change"):
+    """A change that an operator publishes.
+
+    :param id: chosen by the publisher; a second record with the same id changes nothing.
+    :param base: version that it was made from; -1 for the first.
+    :param patch: values to set by merging (RFC 7396): null removes a name.
+    """
+
+    id: str
+    base: int
+    patch: dict[str, Any]
+    by: str = ""
+    note: str = ""
+
+
+class ConfigSnapshot(Struct, frozen=True, kw_only=True, tag_field="kind", tag="snapshot"):
+    """The whole state, written before the log drops the records that led to it."""
+
+    through: int
+    state: dict[str, Any]
+
+
+ConfigRecord = Change | ConfigSnapshot
+
+
+class Verdict(Struct, frozen=True, kw_only=True):
+    """What became of a change; the same on every entry.
+
+    :param version: version that it made, if accepted.
+    """
+
+    id: str
+    accepted: bool
+    version: int = -1
+    reason: str = ""
+    by: str = ""
+    note: str = ""
+
+
+class Configuration(Fold):
+    """The document in force.
+
+    :ivar version: offset of the change that made it; -1 before the first.
+    """
+
+    stream = STREAM
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.version = -1
+        self.document: Document | None = None
+        self.value: dict[str, Any] = {}
+        self.verdict_by_id: OrderedDict[str, Verdict] = OrderedDict()
+        self.last_snapshot_offset = -1
+        self.on_change: list[Callable[[Document], None]] = []
+
+    def _apply(self, record: Record) -> None:
+        try:
+            value = msgspec.convert(record.value, ConfigRecord)
+        except msgspec.ValidationError as error:
+            log.warning("config_record_malformed", extra={"offset": record.offset, "error": error})
+            return
+        if isinstance(value, ConfigSnapshot):
+            self.last_snapshot_offset = record.offset
+        elif value.id not in self.verdict_by_id:
+            self._judge(value, record.offset)
+
+    def _judge(self, change: Change, offset: int) -> None:
+        if change.base != self.version:
+            reason = f"base {change.base} is not the version in force, {self.version}"
+            self._note(Verdict(id=change.id, accepted=False, reason=reason, by=change.by))
+            return
+        merged = merge_patch(self.value, change.patch)
+        try:
+            document = parse_document(merged)
+        except DocumentError as error:
+            self._note(Verdict(id=change.id, accepted=False, reason=str(error), by=change.by))
+            return
+        self.version, self.value, self.document = offset, merged, document
+        self._note(
+            Verdict(id=change.id, accepted=True, version=offset, by=change.by, note=change.note)
+        )
+        self._tell()
+
+    def _note(self, verdict: Verdict) -> None:
+        self.verdict_by_id[verdict.id] = verdict
+        while len(self.verdict_by_id) > KEPT_VERDICTS:
+            self.verdict_by_id.popitem(last=False)
+        log.info(
+            "config_verdict",
+            extra={
+                "change": verdict.id,
+                "accepted": verdict.accepted,
+                "version": verdict.version,
+                "reason": verdict.reason,
+            },
+        )
+
+    def _load(self, snapshot: dict[str, Any]) -> None:
+        verdicts = msgspec.convert(snapshot["verdicts"], list[Verdict])
+        self.version = snapshot["version"]
+        self.value = snapshot["value"]
+        self.document = parse_document(self.value) if self.version >= 0 else None
+        self.verdict_by_id = OrderedDict((verdict.id, verdict) for verdict in verdicts)
+        if self.document is not None:
+            self._tell()
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the document, its version and the late verdicts."""
+        verdicts = msgspec.to_builtins(list(self.verdict_by_id.values()))
+        return {"version": self.version, "value": self.value, "verdicts": verdicts}
+
+    def _tell(self) -> None:
+        for call in self.on_change:
+            call(self.document)
+
+
+def merge_patch(value: Any, patch: Any) -> Any:
+    """Return a value with a JSON merge patch (RFC 7396) applied."""
+    if not isinstance(patch, dict):
+        return patch
+    merged = dict(value) if isinstance(value, dict) else {}
+    for name, change in patch.items():
+        if change is None:
+            merged.pop(name, None)
+        else:
+            merged[name] = merge_patch(merged.get(name), change)
+    return merged
+
+
+def make_patch(before: Any, after: Any) -> dict[str, Any]:
+    """Return the merge patch that turns one object into another."""
+    patch: dict[str, Any] = {name: None for name in before if name not in after}
+    for name, value in after.items():
+        if isinstance(value, dict) and isinstance(before.get(name), dict):
+            nested = make_patch(before[name], value)
+            if nested:
+                patch[name] = nested
+        elif name not in before or before[name] != value:
+            patch[name] = value
+    return patch
--- /dev/null
+++ b/zincwell/core/_dispatch.py
@@ -0,0 +1,322 @@
+"""Dispatch: from the jobs that this entry owns to starts on workers and back."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from zincwell.core._jobs import Job, Task, TaskState, make_answer
+from zincwell.core._ordering import make_queue
+from zincwell.core._pool import Pool, Shares
+from zincwell.core._runtimes import RunTimes
+from zincwell.core._worker import Worker
+from zincwell.document import Document
+from zincwell.models import Answer, Outcome
+from zincwell.ports import Clock, EventKind, Vm, WorkerEvent, WorkerTransport
+from zincwell.settings import TimingSettings
+
+MAX_PLACEMENTS = 20
+RETRY_MS = 500
+
+log = logging.getLogger("zincwell.dispatch")
+
+
+class Dispatcher:
+    """Queues jobs, places their tasks and answers them.
+
+    :param open_worker: makes the transport to a worker.
+    :param observe: called with each final task, for metrics.
+    :param observe_waste: called with the kind of each wasted message.
+    """
+
+    def __init__(
+        self,
+        *,
+        entry: str,
+        domain: str,
+        clock: Clock,
+        timing: TimingSettings,
+        shares: Shares,
+        open_worker: Callable[[Vm], WorkerTransport],
+        observe: Callable[[Task], None],
+        observe_waste: Callable[[str], None],
+    ):
+        self.document: Document | None = None
+        self.pool_by_name: dict[str, Pool] = {}
+        self.run_times = RunTimes(default_s=self._declared_run_s)
+        self._entry = entry
+        self._domain = domain
+        self._clock = clock
+        self._timing = timing
+        self._shares = shares
+        self._open_worker = open_worker
+        self._observe = observe
+        self._observe_waste = observe_waste
+        self._lane_by_worker: dict[str, asyncio.Task] = {}
+        self._stops: set[asyncio.Task] = set()
+
+    # -- configuration and workers -------------------------------------------------------
+
+    def configure(self, document: Document) -> None:
+        """Take a configuration in force."""
+        self.document = document
+        for name, rules in document.pools.items():
+            pool = self.pool_by_name.get(name)
+            if pool is None:
+                self.pool_by_name[name] = self._make_pool(name, document)
+            else:
+                self._change_rules(pool, rules)
+
+    def take_workers(self, vms: list[Vm]) -> None:
+        """Take the list of workers of our domain."""
+        wanted = {vm.vm: vm for vm in vms if vm.pool in self.pool_by_name}
+        for pool in self.pool_by_name.values():
+            for name in [name for name in pool.worker_by_name if name not in wanted]:
+                self._drop_worker(pool, name)
+        for vm in wanted.values():
+            pool = self.pool_by_name[vm.pool]
+            worker = pool.worker_by_name.get(vm.vm)
+            if worker is None:
+                self._add_worker(pool, vm)
+            else:
+                worker.vm = vm
+
+    # -- jobs ----------------------------------------------------------------------------
+
+    def pool_of(self, service: str) -> Pool | None:
+        """Return the pool that serves a service."""
+        if self.document is None or service not in self.document.services:
+            return None
+        return self.pool_by_name[self.document.services[service].pool]
+
+    def run(self, job: Job) -> None:
+        """Queue a job; its answer comes through ``job.answer``."""
+        pool = self.pool_by_name[job.pool]
+        pool.queue.push(job)
+        delay_s = max(0.0, job.deadline_at - self._clock.monotonic())
+        timer = asyncio.get_running_loop().call_later(delay_s, self.give_up, job, "deadline")
+        job.answer.add_done_callback(lambda _: timer.cancel())
+        pool.wake()
+
+    def give_up(self, job: Job, reason: str, retry_after_ms: int | None = None) -> None:
+        """End a job at once: drop what waits, stop what runs, answer."""
+        if job.is_answered:
+            return
+        pool = self.pool_by_name[job.pool]
+        for task in pool.queue.discard(job):
+            _finish(task, Outcome.NOT_RUN, reason)
+        self._stop_placed(pool, job)
+        self._answer(job, make_answer(job, reason=reason, retry_after_ms=retry_after_ms))
+
+    def queued_by_tenant(self) -> dict[str, int]:
+        """Return the number of queued tasks by tenant."""
+        queued: dict[str, int] = {}
+        for pool in self.pool_by_name.values():
+            for tenant, count in pool.queue.size_by_tenant.items():
+                queued[tenant] = queued.get(tenant, 0) + count
+        return queued
+
+    async def close(self) -> None:
+        """Release all workers."""
+        for lane in self._lane_by_worker.values():
+            lane.cancel()
+        for pool in self.pool_by_name.values():
+            for worker in pool.worker_by_name.values():
+                await worker.close()
+
+    # -- what workers say ----------------------------------------------------------------
+
+    def _on_event(self, task: Task, event: WorkerEvent) -> None:
+        pool = self.pool_by_name[task.job.pool]
+        worker = pool.worker_by_name.get(task.worker)
+        if event.kind in (EventKind.ACCEPTED, EventKind.RUNNING):
+            task.started = task.started or event.kind is EventKind.ACCEPTED
+            task.started_at = task.started_at or self._clock.monotonic()
+            return
+        if task.state is TaskState.FINAL:
+            pool.wake()
+            return
+        if event.kind is EventKind.COMPLETED:
+            self._complete(task, worker, event)
+        elif event.kind is EventKind.FAILED:
+            self._fail(pool, task, worker, event)
+        elif event.kind is EventKind.STOPPED:
+            self._end(task, Outcome.OUTCOME_UNKNOWN, "stopped")
+        else:
+            self._observe_waste(f"{event.kind}_{event.reason}".replace(" ", "_"))
+            self._place_again(pool, task, event.reason)
+        pool.wake()
+
+    def _complete(self, task: Task, worker: Worker | None, event: WorkerEvent) -> None:
+        run_s = self._clock.monotonic() - task.started_at
+        expected_s = self.run_times.expected_s(task.job.service)
+        self.run_times.note(task.job.service, run_s)
+        if worker is not None:
+            worker.health.note_success(ratio=run_s / max(expected_s, 0.001))
+        task.output = event.output
+        self._end(task, Outcome.COMPLETED, "")
+
+    def _fail(self, pool: Pool, task: Task, worker: Worker | None, event: WorkerEvent) -> None:
+        if worker is not None:
+            worker.health.note_failure(now=self._clock.monotonic())
+            self._hold_slot(pool, task, worker)
+            if pool.judge(worker):
+                log.warning("worker_ejected", extra={"worker": worker.name, "pool": pool.name})
+        if task.job.idempotent and task.job.retries_left > 0 and not task.job.is_answered:
+            task.job.retries_left -= 1
+            self._observe_waste("retry")
+            self._place_again(pool, task, event.reason)
+            return
+        self._end(task, Outcome.FAILED, event.reason)
+
+    def _hold_slot(self, pool: Pool, task: Task, worker: Worker) -> None:
+        """Keep the slot of a fast failure for as long as a run usually takes.
+
+        Otherwise a worker that fails all at once always has most room and draws the whole
+        queue: one would notice one worker's ledger holding nearly all failed tasks.
+        """
+        left_s = task.started_at + self.run_times.expected_s(task.job.service)
+        left_s -= self._clock.monotonic()
+        if left_s <= 0:
+            return
+        worker.held += 1
+
+        def release() -> None:
+            worker.held -= 1
+            pool.wake()
+
+        asyncio.get_running_loop().call_later(left_s, release)
+
+    def _place_again(self, pool: Pool, task: Task, reason: str) -> None:
+        """Queue a task again that has provably not run."""
+        task.started = False
+        task.started_at = 0.0
+        if task.job.is_answered or task.placement >= MAX_PLACEMENTS:
+            self._end(task, Outcome.NOT_RUN, reason or "no_worker")
+            return
+        task.state = TaskState.QUEUED
+        pool.queue.push_back(task)
+
+    def _on_unsent(self, tasks: list[Task], reason: str) -> None:
+        for task in tasks:
+            pool = self.pool_by_name[task.job.pool]
+            if task.state is not TaskState.FINAL:
+                self._place_again(pool, task, reason)
+            pool.wake()
+
+    def _on_lost(self, tasks: list[Task]) -> None:
+        for task in tasks:
+            log.warning("task_lost", extra={"task": task.id, "worker": task.worker})
+            if task.state is not TaskState.FINAL:
+                self._end(task, Outcome.OUTCOME_UNKNOWN, "worker_lost")
+
+    # -- answers -------------------------------------------------------------------------
+
+    def _end(self, task: Task, outcome: Outcome, reason: str) -> None:
+        _finish(task, outcome, reason)
+        self._observe(task)
+        job = task.job
+        if job.is_answered:
+            return
+        if outcome is not Outcome.COMPLETED:
+            retry_after_ms = RETRY_MS if outcome is Outcome.NOT_RUN else None
+            self.give_up(job, reason, retry_after_ms)
+        elif job.unfinished == 0:
+            self._answer(job, make_answer(job))
+
+    def _answer(self, job: Job, answer: Answer) -> None:
+        job.answer.set_result(answer)
+        log.info(
+            "job_answered",
+            extra={
+                "job": job.key,
+                "tenant": job.tenant,
+                "service": job.service,
+                "outcome": answer.outcome,
+                "reason": answer.reason,
+                "tasks": len(answer.tasks),
+                "ms": round((self._clock.monotonic() - job.arrived_at) * 1000, 1),
+            },
+        )
+
+    def _stop_placed(self, pool: Pool, job: Job) -> None:
+        """Stop a job's placed tasks, by one message to each worker."""
+        placed_by_worker: dict[str, list[Task]] = {}
+        for task in job.tasks:
+            if task.state is TaskState.PLACED:
+                placed_by_worker.setdefault(task.worker, []).append(task)
+        for name, tasks in placed_by_worker.items():
+            worker = pool.worker_by_name.get(name)
+            if worker is not None:
+                stop = asyncio.create_task(worker.stop(tasks))
+                self._stops.add(stop)
+                stop.add_done_callback(self._stops.discard)
+
+    # -- making pools and workers --------------------------------------------------------
+
+    def _make_pool(self, name: str, document: Document) -> Pool:
+        rules = document.pools[name]
+        queue = make_queue(rules.ordering, weight=self._weight, run_s=self.run_times.expected_s)
+        return Pool(
+            name=name,
+            rules=rules,
+            queue=queue,
+            shares=self._shares,
+            clock=self._clock,
+            seed=f"{self._entry}/{name}",
+        )
+
+    def _change_rules(self, pool: Pool, rules) -> None:
+        if rules.ordering is not pool.rules.ordering:
+            queue = make_queue(rules.ordering, weight=self._weight, run_s=self.run_times.expected_s)
+            waiting = {}
+            while (task := pool.queue.pop()) is not None:
+                waiting.setdefault(task.job.key, []).append(task)
+            for tasks in waiting.values():
+                tasks[0].job.waiting.extend(tasks)
+                queue.push(tasks[0].job)
+            pool.queue = queue
+        pool.rules = rules
+
+    def _add_worker(self, pool: Pool, vm: Vm) -> None:
+        worker = Worker(
+            vm=vm,
+            entry=self._entry,
+            transport=self._open_worker(vm),
+            clock=self._clock,
+            timing=self._timing,
+            on_event=self._on_event,
+            on_lost=self._on_lost,
+            on_unsent=self._on_unsent,
+            on_change=pool.wake,
+        )
+        pool.worker_by_name[vm.vm] = worker
+        self._lane_by_worker[vm.vm] = asyncio.create_task(worker.run())
+        log.info("worker_added", extra={"worker": vm.vm, "pool": pool.name})
+
+    def _drop_worker(self, pool: Pool, name: str) -> None:
+        """Give a worker nothing new; streams of what runs there go on to their end."""
+        pool.worker_by_name.pop(name)
+        self._lane_by_worker.pop(name).cancel()
+        log.info("worker_dropped", extra={"worker": name, "pool": pool.name})
+
+    def _weight(self, tenant: str, urgency: str) -> float:
+        weight = 1.0
+        if tenant in self.document.tenants:
+            weight *= self.document.tenants[tenant].weight
+        if urgency in self.document.urgencies:
+            weight *= self.document.urgencies[urgency].weight
+        return weight
+
+    def _declared_run_s(self, service: str) -> float:
+        if self.document is None or service not in self.document.services:
+            return 0.25
+        return self.document.services[service].run_ms / 1000
+
+
+def _finish(task: Task, outcome: Outcome, reason: str) -> None:
+    task.state = TaskState.FINAL
+    task.outcome = outcome
+    task.reason = reason
+    task.job.unfinished -= 1
--- /dev/null
+++ b/zincwell/core/_submissions.py
@@ -0,0 +1,408 @@
+"""What callers ask for, from arrival to the whole answer."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import uuid
+from collections.abc import Callable
+
+import msgspec
+from msgspec import Raw
+from result import Err, Ok, Result
+
+from zincwell.core._admission import Admission, Refusal
+from zincwell.core._dispatch import Dispatcher
+from zincwell.core._jobs import Job, JobBook, digest_of, full_key
+from zincwell.core._membership import Membership, Seat
+from zincwell.core._messages import (
+    AttachCall,
+    AttachKind,
+    AttachReply,
+    CancelCall,
+    Claim,
+    ClaimKind,
+    ClaimReply,
+    Intent,
+    OwnedKey,
+)
+from zincwell.core._ownership import Ownership
+from zincwell.core._peers import Peers
+from zincwell.exceptions import PeerUnavailableError
+from zincwell.models import Answer, Outcome, Request, Submission, TaskSpec
+from zincwell.ports import Clock
+from zincwell.settings import TimingSettings
+
+ATTACH_WAIT_S = 1.0
+ATTACH_TIMEOUT_S = 2.0
+ATTACH_PATIENCE_S = 2.0
+OWNER_RETRY_MS = 1_000
+DRAIN_RETRY_MS = 100
+
+log = logging.getLogger("zincwell.submissions")
+
+
+class Submissions:
+    """Takes callers' work in, owns it or finds its owner, and answers it."""
+
+    def __init__(
+        self,
+        *,
+        seat: Seat,
+        membership: Membership,
+        ownership: Ownership,
+        peers: Peers,
+        book: JobBook,
+        dispatcher: Dispatcher,
+        admission: Admission,
+        clock: Clock,
+        timing: TimingSettings,
+        observe_refusal: Callable[[str, str, str], None],
+    ):
+        self._seat = seat
+        self._membership = membership
+        self._ownership = ownership
+        self._peers = peers
+        self._book = book
+        self._dispatcher = dispatcher
+        self._admission = admission
+        self._clock = clock
+        self._timing = timing
+        self._observe_refusal = observe_refusal
+        self._claiming_by_key: dict[str, asyncio.Future[Result[Job | ClaimReply, Answer]]] = {}
+        self._closed_serial_by_key: dict[str, int] = {}
+
+    # -- callers -------------------------------------------------------------------------
+
+    async def submit(self, submission: Submission) -> Answer:
+        """Run a submission, or find the one that its key stands for; return the answer."""
+        found = await self.accept(submission)
+        if isinstance(found, Err):
+            return found.err_value
+        return await asyncio.shield(found.ok_value)
+
+    async def accept(self, submission: Submission) -> Result[asyncio.Future[Answer], Answer]:
+        """Take a submission in and return its answer to come, or a final answer."""
+        early = self._check_age(submission)
+        if early is not None:
+            return Err(early)
+        key = full_key(key=submission.key, tenant=submission.tenant)
+        job = self._book.jobs_by_key.get(key)
+        if job is not None:
+            return self._rejoin(job, submission)
+        result = await self._claim_once(key, submission)
+        if isinstance(result, Err):
+            return result
+        if isinstance(result.ok_value, Job):
+            return self._rejoin(result.ok_value, submission)
+        return Ok(asyncio.ensure_future(self._follow(key, result.ok_value, submission)))
+
+    async def request(self, request: Request) -> Answer:
+        """Run a single request; no other entry can know its key, so none is asked."""
+        spec = TaskSpec(payload=request.payload, run_ms=request.run_ms, memory_mb=request.memory_mb)
+        submission = Submission(
+            key=f"{self._seat.domain}/{uuid.uuid4().hex}",
+            created_at=self._clock.wall(),
+            tenant=request.tenant,
+            service=request.service,
+            tasks=[spec],
+            urgency=request.urgency,
+            deadline_ms=request.deadline_ms,
+            attempt=1,
+        )
+        refused = self._refuse(submission)
+        if refused is not None:
+            return refused
+        key = full_key(key=submission.key, tenant=request.tenant)
+        job = self._make_job(key, submission)
+        if request.idempotent:
+            job.idempotent = True
+            job.retries_left = self._dispatcher.document.retries.max_attempts - 1
+        self._start(job, serial=1)
+        return await asyncio.shield(job.answer)
+
+    async def poll(self, *, key: str, tenant: str, created_at: float) -> Answer | None:
+        """Return the answer of a submission if it is out, or None while it runs."""
+        name = full_key(key=key, tenant=tenant)
+        job = self._book.jobs_by_key.get(name)
+        if job is not None:
+            return job.answer.result() if job.is_answered else None
+        reply = await self._ownership.acquire(
+            Claim(key=name, created_at=created_at, intent=Intent.LOOK_UP)
+        )
+        if reply.kind is not ClaimKind.OWNED:
+            return _unknown(key, reply.reason or "unknown_key", reply.retry_after_ms)
+        return await self._attach_once(name, reply)
+
+    async def cancel(self, *, key: str, tenant: str, created_at: float) -> Answer | None:
+        """Cancel a submission; return its answer, or None if it can't be reached now."""
+        name = full_key(key=key, tenant=tenant)
+        job = self._book.jobs_by_key.get(name)
+        if job is not None:
+            self._dispatcher.give_up(job, "cancelled")
+            return job.answer.result()
+        reply = await self._ownership.acquire(
+            Claim(key=name, created_at=created_at, intent=Intent.LOOK_UP)
+        )
+        if reply.kind is not ClaimKind.OWNED:
+            return _unknown(key, reply.reason or "unknown_key", reply.retry_after_ms)
+        try:
+            found = await self._peers.call(
+                url=reply.owner.url,
+                path="/peer/cancel",
+                message=CancelCall(key=name),
+                reply=AttachReply,
+                timeout_s=ATTACH_TIMEOUT_S,
+            )
+        except PeerUnavailableError:
+            return _unknown(key, "owner_unreachable", OWNER_RETRY_MS)
+        return _answer_of(found)
+
+    # -- peers ---------------------------------------------------------------------------
+
+    async def attach(self, call: AttachCall) -> AttachReply:
+        """Answer a peer that was told we own a key."""
+        claiming = self._claiming_by_key.get(call.key)
+        if claiming is not None:
+            await asyncio.wait([claiming], timeout=call.wait_s)
+            if not claiming.done():
+                return AttachReply(kind=AttachKind.PENDING)
+        job = self._book.jobs_by_key.get(call.key)
+        if job is None:
+            # Said for good: from now on we refuse to start the key under this grant, so the
+            # home may give it to another.
+            known = self._closed_serial_by_key.get(call.key, 0)
+            self._closed_serial_by_key[call.key] = max(known, call.serial)
+            return AttachReply(kind=AttachKind.NEVER_STARTED)
+        if call.digest not in (0, job.digest):
+            return AttachReply(kind=AttachKind.REUSED)
+        await asyncio.wait([job.answer], timeout=call.wait_s)
+        return _reply_of(job)
+
+    def cancel_owned(self, call: CancelCall) -> AttachReply:
+        """Cancel a job that we own for a peer."""
+        job = self._book.jobs_by_key.get(call.key)
+        if job is None:
+            return AttachReply(kind=AttachKind.NEVER_STARTED)
+        self._dispatcher.give_up(job, "cancelled")
+        return _reply_of(job)
+
+    def owned_keys(self) -> list[OwnedKey]:
+        """Return all keys that we own, for a new home."""
+        return [
+            OwnedKey(
+                key=key,
+                owner=self._seat,
+                serial=self._book.serial_by_key[key],
+                created_at=job.created_at,
+            )
+            for key, job in self._book.jobs_by_key.items()
+        ]
+
+    # -- owning --------------------------------------------------------------------------
+
+    async def _claim_once(self, key: str, submission: Submission) -> Result:
+        """Claim a key; those who bring the same key meanwhile share the result.
+
+        Runs as a task of its own: a caller that hangs up must not leave the claim undecided
+        for the others, nor a granted job unstarted.
+        """
+        task = self._claiming_by_key.get(key)
+        if task is None:
+            task = asyncio.ensure_future(self._claim(key, submission))
+            self._claiming_by_key[key] = task
+            task.add_done_callback(lambda _: self._claiming_by_key.pop(key))
+        return await asyncio.shield(task)
+
+    async def _claim(self, key: str, submission: Submission) -> Result:
+        refused = self._refuse(submission)
+        if refused is not None and submission.attempt == 1:
+            return Err(refused)
+        claim = Claim(
+            key=key,
+            created_at=submission.created_at,
+            attempt=submission.attempt or 0,
+            intent=Intent.OWN if refused is None else Intent.REFUSE,
+            disown=self._closed_serial_by_key.get(key, 0),
+        )
+        reply = await self._ownership.acquire(claim)
+        if reply.kind is ClaimKind.OWNED and reply.owner.id != self._seat.id:
+            return Ok(reply)
+        if reply.kind in (ClaimKind.ABSENT, ClaimKind.OWNED):
+            return Err(refused)
+        if reply.kind is not ClaimKind.GRANTED:
+            return Err(self._explain(submission, reply))
+        if reply.serial <= self._closed_serial_by_key.get(key, 0):
+            return Err(_unknown(submission.key, "grant_closed", DRAIN_RETRY_MS))
+        job = self._make_job(key, submission)
+        self._start(job, serial=reply.serial)
+        return Ok(job)
+
+    def _explain(self, submission: Submission, reply: ClaimReply) -> Answer:
+        """Say truly what is known of a key that we got no grant for.
+
+        Only a caller that never sent the key before can be told that it has not run.
+        """
+        if submission.attempt == 1:
+            return _not_run(submission.key, reply.reason, reply.retry_after_ms)
+        return _unknown(submission.key, reply.reason, reply.retry_after_ms)
+
+    def _refuse(self, submission: Submission) -> Answer | None:
+        refusal = self._why_refused(submission)
+        if refusal is None:
+            return None
+        self._observe_refusal(submission.tenant, submission.urgency, refusal.reason)
+        log.info(
+            "refused",
+            extra={"job": submission.key, "tenant": submission.tenant, "reason": refusal.reason},
+        )
+        return Answer(
+            key=submission.key,
+            outcome=Outcome.NOT_RUN,
+            reason=refusal.reason,
+            detail=refusal.detail,
+            retry_after_ms=refusal.retry_after_ms,
+        )
+
+    def _why_refused(self, submission: Submission) -> Refusal | None:
+        document = self._dispatcher.document
+        if document is None:
+            return Refusal(
+                reason="no_configuration",
+                detail="this entry has no configuration yet",
+                retry_after_ms=OWNER_RETRY_MS,
+            )
+        pool = self._dispatcher.pool_of(submission.service)
+        if pool is None:
+            return Refusal(reason="unknown_service", detail=f"no service {submission.service!r}")
+        return self._admission.check(
+            document=document,
+            pool=pool,
+            tenant=submission.tenant,
+            service=submission.service,
+            urgency=submission.urgency,
+            deadline_ms=submission.deadline_ms,
+            tasks=submission.tasks,
+        )
+
+    def _make_job(self, key: str, submission: Submission) -> Job:
+        now = self._clock.monotonic()
+        job = Job(
+            key=key,
+            tenant=submission.tenant,
+            service=submission.service,
+            pool=self._dispatcher.document.services[submission.service].pool,
+            urgency=submission.urgency,
+            created_at=submission.created_at,
+            deadline_at=now + submission.deadline_ms / 1000,
+            arrived_at=now,
+            digest=digest_of(submission),
+        )
+        job.add_tasks(submission.tasks, now=now)
+        return job
+
+    def _start(self, job: Job, *, serial: int) -> None:
+        self._book.add(job, serial=serial)
+        job.answer.add_done_callback(lambda _: self._book.keep(job))
+        self._dispatcher.run(job)
+
+    def _rejoin(self, job: Job, submission: Submission) -> Result:
+        if job.digest != digest_of(submission):
+            return Err(_reused(submission.key))
+        return Ok(job.answer)
+
+    def _check_age(self, submission: Submission) -> Answer | None:
+        """Refuse a key made in the future, or so long ago that it may have been forgotten."""
+        now = self._clock.wall()
+        if submission.created_at > now + self._timing.clock_margin_s:
+            return Answer(
+                key=submission.key,
+                reason="created_in_future",
+                detail="created_at is later than this entry's clock - at `$.created_at`",
+            )
+        if submission.created_at < now - self._timing.resubmission_window_s:
+            return _unknown(submission.key, "key_expired", None)
+        return None
+
+    # -- following another owner ---------------------------------------------------------
+
+    async def _follow(self, key: str, owned: ClaimReply, submission: Submission) -> Answer:
+        """Wait for the answer of another owner, on a new call each second."""
+        owner = owned.owner
+        digest = digest_of(submission)
+        call = AttachCall(key=key, serial=owned.serial, wait_s=ATTACH_WAIT_S, digest=digest)
+        lost_at = None
+        while True:
+            try:
+                reply = await self._attach(owner, call)
+            except PeerUnavailableError as error:
+                now = self._clock.monotonic()
+                lost_at = lost_at or now
+                if now - lost_at > ATTACH_PATIENCE_S:
+                    log.info("owner_unreachable", extra={"owner": owner.id, "error": error})
+                    return self._owner_lost(submission.key, owner)
+                await asyncio.sleep(0.1)
+                continue
+            lost_at = None
+            if reply.kind is AttachKind.ANSWER:
+                return _answer_of(reply)
+            if reply.kind is AttachKind.NEVER_STARTED:
+                return await self._claim_disowned(key, owned.serial, submission)
+            if reply.kind is AttachKind.REUSED:
+                return _reused(submission.key)
+
+    async def _claim_disowned(self, key: str, serial: int, submission: Submission) -> Answer:
+        """Become owner of a key whose owner said that it never started it."""
+        self._closed_serial_by_key[key] = max(serial, self._closed_serial_by_key.get(key, 0))
+        return await self.submit(submission)
+
+    def _owner_lost(self, key: str, owner: Seat) -> Answer:
+        gone = not self._membership.is_open(vm=owner.vm, incarnation=owner.incarnation)
+        if gone:
+            return _unknown(key, "owner_lost", None)
+        return _unknown(key, "owner_unreachable", OWNER_RETRY_MS)
+
+    async def _attach(self, owner: Seat, call: AttachCall) -> AttachReply:
+        return await self._peers.call(
+            url=owner.url,
+            path="/peer/attach",
+            message=call,
+            reply=AttachReply,
+            timeout_s=call.wait_s + ATTACH_TIMEOUT_S,
+        )
+
+    async def _attach_once(self, key: str, reply: ClaimReply) -> Answer | None:
+        try:
+            call = AttachCall(key=key, serial=reply.serial, wait_s=0.0)
+            found = await self._attach(reply.owner, call)
+        except PeerUnavailableError:
+            return self._owner_lost(key.rpartition("@")[0], reply.owner)
+        return _answer_of(found)
+
+
+def _answer_of(reply: AttachReply) -> Answer | None:
+    if reply.kind is not AttachKind.ANSWER:
+        return None
+    return msgspec.json.decode(reply.answer, type=Answer)
+
+
+def _reply_of(job: Job) -> AttachReply:
+    if not job.is_answered:
+        return AttachReply(kind=AttachKind.PENDING)
+    answer = Raw(msgspec.json.encode(job.answer.result()))
+    return AttachReply(kind=AttachKind.ANSWER, answer=answer)
+
+
+def _reused(key: str) -> Answer:
+    detail = "the key stands for a different submission - at `$.key`"
+    return Answer(key=key, reason="key_reused", detail=detail)
+
+
+def _not_run(key: str, reason: str, retry_after_ms: int | None) -> Answer:
+    return Answer(key=key, outcome=Outcome.NOT_RUN, reason=reason, retry_after_ms=retry_after_ms)
+
+
+def _unknown(key: str, reason: str, retry_after_ms: int | None) -> Answer:
+    return Answer(
+        key=key, outcome=Outcome.OUTCOME_UNKNOWN, reason=reason, retry_after_ms=retry_after_ms
+    )
--- /dev/null
+++ b/zincwell/document.py
@@ -0,0 +1,119 @@
+"""The configuration document: what operators agree on for the whole system."""
+
+from __future__ import annotations
+
+import enum
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta, Struct
+
+from zincwell.exceptions import DocumentError
+from zincwell.models import Name
+
+FORMAT = 1
+Share = Annotated[float, Meta(ge=0, le=1)]
+
+
+class Ordering(enum.StrEnum):
+    """The order in which queued tasks are started."""
+
+    FIFO = "fifo"
+    FAIR_DEADLINE = "fair_deadline"
+    FAIR_LEAST_WORK = "fair_least_work"
+
+
+class Service(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """What callers name in a job.
+
+    :param pool: the pool of workers that runs it.
+    :param run_ms: run time assumed until one has been measured, in milliseconds.
+    """
+
+    pool: Name
+    run_ms: Annotated[int, Meta(ge=1)] = 250
+
+
+class Pool(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Workers that serve the same services.
+
+    :param ordering: the order in which queued tasks are started.
+    :param queue_target_ms: queueing delay that admission holds, in milliseconds.
+    :param eject_share: largest share of the pool that may be ejected as unhealthy.
+    :param guards: whether unhealthy workers are ejected at all.
+    :param spill: whether free workers of other domains may take queued tasks.
+    """
+
+    ordering: Ordering = Ordering.FAIR_LEAST_WORK
+    queue_target_ms: Annotated[int, Meta(ge=1)] = 2_000
+    eject_share: Share = 0.34
+    guards: bool = True
+    spill: bool = True
+
+
+class Tenant(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A customer and its share.
+
+    :param weight: share against other tenants when not all can be served.
+    :param max_running: tasks running at once over all entries; 0 for no quota.
+    :param max_queued: tasks queued at once over all entries; 0 for no quota.
+    """
+
+    weight: Annotated[float, Meta(gt=0, le=1_000)] = 1.0
+    max_running: Annotated[int, Meta(ge=0)] = 0
+    max_queued: Annotated[int, Meta(ge=0)] = 0
+
+
+class Urgency(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A class of urgency.
+
+    :param weight: share against other classes of the same tenant.
+    :param max_queue_ms: longest queueing delay accepted at arrival; 0 for the pool's target.
+    """
+
+    weight: Annotated[float, Meta(gt=0, le=1_000)] = 1.0
+    max_queue_ms: Annotated[int, Meta(ge=0)] = 0
+
+
+class Retries(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Limits on retrying idempotent requests.
+
+    :param budget: retries as a share of recent requests of the same pool.
+    :param max_attempts: starts of one idempotent request at the most.
+    """
+
+    budget: Share = 0.1
+    max_attempts: Annotated[int, Meta(ge=1, le=10)] = 3
+
+
+class Document(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """The whole configuration, with the version of its format.
+
+    :param domains: failure domains that keys without a prefix are spread over.
+    """
+
+    format: Annotated[int, Meta(ge=1, le=FORMAT)] = FORMAT
+    domains: Annotated[list[Name], Meta(min_length=1)]
+    services: dict[Name, Service]
+    pools: dict[Name, Pool]
+    tenants: dict[Name, Tenant] = {}
+    urgencies: dict[Name, Urgency] = {}
+    retries: Retries = Retries()
+    open_tenants: bool = True
+
+
+def parse_document(value: object) -> Document:
+    """Check a document given as plain JSON or TOML values.
+
+    :raises DocumentError: naming the field that is wrong.
+    """
+    try:
+        document = msgspec.convert(value, Document)
+    except msgspec.ValidationError as error:
+        raise DocumentError(str(error)) from error
+    for name, service in document.services.items():
+        if service.pool not in document.pools:
+            raise DocumentError(f"unknown pool {service.pool!r} - at `$.services.{name}.pool`")
+    if len(set(document.domains)) != len(document.domains):
+        raise DocumentError("a domain stands twice - at `$.domains`")
+    return document
--- /dev/null
+++ b/zincwell/entry.py
@@ -0,0 +1,450 @@
+"""One entry: the dispatcher's parts put together, and its life from start to drain."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import uuid
+from pathlib import Path
+
+import aiohttp
+from msgspec import Struct
+
+from zincwell.adapters import (
+    HttpLogService,
+    HttpPeerTransport,
+    HttpVmDirectory,
+    HttpWorkerTransport,
+    SystemClock,
+)
+from zincwell.core._admission import Admission
+from zincwell.core._configuration import Configuration
+from zincwell.core._directory import DirectoryWatcher
+from zincwell.core._dispatch import Dispatcher
+from zincwell.core._follow import Follower
+from zincwell.core._home import Home
+from zincwell.core._jobs import JobBook, Task
+from zincwell.core._membership import Membership, Seat
+from zincwell.core._messages import HandoverCall, HandoverReply, Load
+from zincwell.core._ownership import Ownership
+from zincwell.core._peers import Heartbeats, Peers
+from zincwell.core._pool import Shares
+from zincwell.core._seat import SeatKeeper
+from zincwell.core._submissions import Submissions
+from zincwell.exceptions import LogUnavailableError, PeerUnavailableError, SettingsError
+from zincwell.listeners import CallersListener, OperatorsListener, PeersListener
+from zincwell.metrics import Metrics
+from zincwell.models import Outcome
+from zincwell.ports import Clock, Vm
+from zincwell.settings import Settings
+
+IDLE_PEER_CONNECTION_S = 10.0
+ANY_ADDRESS = "0.0.0.0"
+LONG_WAIT_S = 5.0
+HANDOVER_TIMEOUT_S = 1.0
+HANDOVER_PERIOD_S = 0.1
+FORGET_PERIOD_S = 1.0
+
+log = logging.getLogger("zincwell.entry")
+
+
+class WorkerStatus(Struct, frozen=True, kw_only=True):
+    """A worker as this entry sees it."""
+
+    worker: str
+    pool: str
+    usable: bool
+    slots: int
+    placed: int
+    failure_rate: float
+    slowness: float
+    ejected: bool
+
+
+class Status(Struct, frozen=True, kw_only=True):
+    """An entry's state, for operators.
+
+    :param may_grant: whether it now grants keys as a home.
+    :param config_version: version of the configuration in force here; -1 for none.
+    :param keys: keys that it remembers as a home.
+    :param jobs: jobs that it owns or keeps answers of.
+    """
+
+    vm: str
+    domain: str
+    incarnation: str
+    ready: bool
+    draining: bool
+    may_grant: bool
+    log_reached: bool
+    config_version: int
+    seats: list[str]
+    keys: int
+    jobs: int
+    queued_by_pool: dict[str, int]
+    workers: list[WorkerStatus]
+
+
+class Entry:
+    """One entry daemon.
+
+    Use :meth:`open` to start it and :meth:`drain` to end it without cutting a request.
+    """
+
+    def __init__(self, *, settings: Settings, clock: Clock | None = None):
+        self.settings = settings
+        self.clock = clock or SystemClock()
+        self.metrics = Metrics()
+        self.incarnation = uuid.uuid4().hex[:12]
+        self.is_draining = False
+        self._session: aiohttp.ClientSession | None = None
+        self._tasks: list[asyncio.Task] = []
+
+    # -- life ----------------------------------------------------------------------------
+
+    async def open(self) -> None:
+        """Start listening and following the platform.
+
+        :raises SettingsError: if a file of the settings can't be read.
+        """
+        peer_key = read_secret(self.settings.peer_key_file)
+        self.operator_token = read_secret(self.settings.operator_token_file)
+        self.callers = CallersListener(entry=self, settings=self.settings.callers)
+        self.peers_listener = PeersListener(entry=self, settings=self.settings.peers, key=peer_key)
+        self.operators = OperatorsListener(entry=self, settings=self.settings.operators)
+        peers_url = self.peers_listener.bind()
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0,
+                keepalive_timeout=IDLE_PEER_CONNECTION_S,
+                local_addr=self._local_address(),
+            )
+        )
+        self._assemble(self.settings.peers_url or peers_url, peer_key)
+        for listener in (self.peers_listener, self.callers, self.operators):
+            await listener.open()
+        if self.settings.otlp_endpoint:
+            self.metrics.export(self.settings.otlp_endpoint, vm=self.settings.vm)
+        self._tasks = [
+            asyncio.create_task(lane)
+            for lane in (
+                self.seats_follower.run(),
+                self.config_follower.run(),
+                self.keeper.run(),
+                self.heartbeats.run(),
+                self.watcher.run(),
+                self._recover_keys(),
+                self._forget(),
+            )
+        ]
+        log.info(
+            "entry_open",
+            extra={
+                "vm": self.settings.vm,
+                "domain": self.settings.domain,
+                "callers": self.callers.url,
+                "peers": self.peers_listener.url,
+                "operators": self.operators.url,
+            },
+        )
+
+    async def drain(self) -> None:
+        """Leave: readiness off, then no new work, then wait for what is in flight."""
+        self.is_draining = True
+        log.info("drain_begins", extra={"vm": self.settings.vm})
+        await asyncio.sleep(self.settings.timing.drain_notice_s)
+        await self.callers.close()
+        await self._hand_over_seat()
+        await self.close()
+        log.info("drain_ends", extra={"vm": self.settings.vm})
+
+    async def close(self) -> None:
+        """Stop at once."""
+        for task in self._tasks:
+            task.cancel()
+        await self.dispatcher.close()
+        for listener in (self.callers, self.peers_listener, self.operators):
+            await listener.close()
+        await self._session.close()
+        self.metrics.close()
+
+    # -- state ---------------------------------------------------------------------------
+
+    def is_ready(self) -> bool:
+        """Tell whether callers should be sent here."""
+        return not self.is_draining and self.configuration.document is not None
+
+    def has_workers(self) -> bool:
+        """Tell whether any worker may get a task."""
+        return any(pool.usable_workers() for pool in self.dispatcher.pool_by_name.values())
+
+    def progress(self) -> int:
+        """Return the number of tasks completed since the start."""
+        return self.metrics.total("tasks", kind=Outcome.COMPLETED)
+
+    def load(self) -> Load:
+        """Return what this entry uses of its domain's workers."""
+        pools = self.dispatcher.pool_by_name.values()
+        queued_by_pool = {pool.name: pool.queue.size for pool in pools if pool.queue.size}
+        running_by_worker = {
+            worker.name: len(worker.placed_by_id)
+            for pool in pools
+            for worker in pool.worker_by_name.values()
+            if worker.placed_by_id
+        }
+        return Load(
+            queued_by_pool=queued_by_pool,
+            running_by_worker=running_by_worker,
+            queued_by_tenant=self.dispatcher.queued_by_tenant(),
+        )
+
+    def status(self) -> Status:
+        """Return what this entry is and knows, for operators."""
+        workers = [
+            WorkerStatus(
+                worker=worker.name,
+                pool=pool.name,
+                usable=worker.is_usable(),
+                slots=worker.slots,
+                placed=len(worker.placed_by_id),
+                failure_rate=round(worker.health.failure_rate, 3),
+                slowness=round(worker.health.slowness, 2),
+                ejected=worker.health.is_ejected(now=self.clock.monotonic()),
+            )
+            for pool in self.dispatcher.pool_by_name.values()
+            for worker in pool.worker_by_name.values()
+        ]
+        return Status(
+            vm=self.settings.vm,
+            domain=self.settings.domain,
+            incarnation=self.incarnation,
+            ready=self.is_ready(),
+            draining=self.is_draining,
+            may_grant=self.keeper.may_grant(),
+            log_reached=self.keeper.has_log(),
+            config_version=self.configuration.version,
+            seats=sorted(self.membership.seats_by_vm),
+            keys=self.home.size,
+            jobs=len(self.book.jobs_by_key),
+            queued_by_pool=self.load().queued_by_pool,
+            workers=workers,
+        )
+
+    def hand_over(self, call: HandoverCall) -> HandoverReply:
+        """Return the keys that a new home should know of."""
+        keys = self.home.hand_over(seat=call.seat, owned=self.submissions.owned_keys())
+        return HandoverReply(
+            seat=self.seat,
+            epoch=self.membership.next_offset,
+            floor=self.home.floor(),
+            keys=keys,
+        )
+
+    # -- assembly ------------------------------------------------------------------------
+
+    def _assemble(self, peers_url: str, peer_key: str) -> None:
+        settings, timing, clock = self.settings, self.settings.timing, self.clock
+        platform = settings.platform
+        log_service = HttpLogService(url=platform.log_url, session=self._session)
+        directory = HttpVmDirectory(url=platform.directory_url, session=self._session)
+        self.log_service = log_service
+        self.seat = Seat(
+            vm=settings.vm,
+            incarnation=self.incarnation,
+            domain=settings.domain,
+            url=peers_url,
+        )
+        self.membership = Membership()
+        self.configuration = Configuration()
+        self.seats_follower = Follower(
+            fold=self.membership, log_service=log_service, clock=clock, wait_s=self._seats_wait_s
+        )
+        self.config_follower = Follower(
+            fold=self.configuration,
+            log_service=log_service,
+            clock=clock,
+            wait_s=lambda: LONG_WAIT_S,
+        )
+        self.keeper = SeatKeeper(
+            seat=self.seat,
+            membership=self.membership,
+            follower=self.seats_follower,
+            log_service=log_service,
+            clock=clock,
+            timing=timing,
+        )
+        self.home = Home(
+            keeper=self.keeper,
+            membership=self.membership,
+            clock=clock,
+            timing=timing,
+            domains=self._domains,
+        )
+        transport = HttpPeerTransport(session=self._session, key=peer_key)
+        self.peers = Peers(transport=transport, timing=timing)
+        self.dispatcher = Dispatcher(
+            entry=self.seat.id,
+            domain=settings.domain,
+            clock=clock,
+            timing=timing,
+            shares=Shares(index=self._share_index, contended=self._is_contended),
+            open_worker=self._open_worker,
+            observe=self._observe_task,
+            observe_waste=lambda kind: self.metrics.count("wasted", kind=kind),
+        )
+        self.configuration.on_change.append(self.dispatcher.configure)
+        self.watcher = DirectoryWatcher(
+            directory=directory,
+            domain=settings.domain,
+            poll_s=timing.directory_poll_s,
+            answers=self._worker_answers,
+            on_workers=self.dispatcher.take_workers,
+        )
+        self.heartbeats = Heartbeats(
+            peers=self.peers,
+            keeper=self.keeper,
+            membership=self.membership,
+            configuration=self.configuration,
+            clock=clock,
+            timing=timing,
+            load=self.load,
+            seeds=lambda: self.watcher.entry_urls,
+        )
+        ownership = Ownership(
+            seat=self.seat,
+            home=self.home,
+            membership=self.membership,
+            peers=self.peers,
+            clock=clock,
+            timing=timing,
+            domains=self._domains,
+        )
+        admission = Admission(
+            memory=settings.memory,
+            run_times=self.dispatcher.run_times,
+            own_load=self.load,
+            peer_loads=lambda: list(self.heartbeats.load_by_vm.values()),
+        )
+        self.book = JobBook(clock=clock, timing=timing, memory=settings.memory)
+        self.submissions = Submissions(
+            seat=self.seat,
+            membership=self.membership,
+            ownership=ownership,
+            peers=self.peers,
+            book=self.book,
+            dispatcher=self.dispatcher,
+            admission=admission,
+            clock=clock,
+            timing=timing,
+            observe_refusal=self._observe_refusal,
+        )
+
+    def _local_address(self) -> tuple[str, int] | None:
+        """Return the address that our connections come from: that of the peers' listener."""
+        host = self.settings.peers.host
+        return None if host == ANY_ADDRESS else (host, 0)
+
+    def _open_worker(self, vm: Vm) -> HttpWorkerTransport:
+        timing = self.settings.timing
+        return HttpWorkerTransport(
+            url=vm.url,
+            accept_silence_s=timing.accept_silence_s,
+            stream_silence_s=timing.stream_silence_s,
+            local_address=self._local_address(),
+        )
+
+    def _domains(self) -> list[str]:
+        document = self.configuration.document
+        return document.domains if document is not None else [self.settings.domain]
+
+    def _seats_wait_s(self) -> float:
+        """Wait long for records while the peers keep our lease, shortly once they don't."""
+        if self.keeper.is_open and self.keeper.others() and self.keeper.hears_all_peers():
+            return LONG_WAIT_S
+        return self.settings.timing.heartbeat_s
+
+    def _share_index(self) -> tuple[int, int]:
+        names = sorted({seat.vm for seat in self.keeper.others()} | {self.seat.vm})
+        return names.index(self.seat.vm), len(names)
+
+    def _is_contended(self, pool: str) -> bool:
+        loads = (self.heartbeats.load_by_vm.get(seat.vm) for seat in self.keeper.others())
+        return any(load.queued_by_pool.get(pool, 0) > 0 for load in loads if load is not None)
+
+    def _worker_answers(self, name: str) -> bool:
+        workers = (pool.worker_by_name.get(name) for pool in self.dispatcher.pool_by_name.values())
+        return any(worker.answers for worker in workers if worker is not None)
+
+    # -- observation ---------------------------------------------------------------------
+
+    def _observe_task(self, task: Task) -> None:
+        job = task.job
+        self.metrics.count("tasks", kind=task.outcome, tenant=job.tenant)
+        if task.outcome is not Outcome.COMPLETED:
+            return
+        now = self.clock.monotonic()
+        labels = {"tenant": job.tenant, "urgency": job.urgency}
+        self.metrics.observe("queueing", task.started_at - task.queued_at, **labels)
+        self.metrics.observe("run", now - task.started_at, **labels)
+        if job.unfinished == 0:
+            self.metrics.observe("response", now - job.arrived_at, **labels)
+
+    def _observe_refusal(self, tenant: str, _: str, reason: str) -> None:
+        self.metrics.count("refused", kind=reason, tenant=tenant)
+
+    # -- lanes ---------------------------------------------------------------------------
+
+    async def _recover_keys(self) -> None:
+        """Ask the others what they know of the keys that we have become home to."""
+        while True:
+            for seat in self.home.awaited():
+                await self._recover_from(seat)
+            await asyncio.sleep(HANDOVER_PERIOD_S)
+
+    async def _recover_from(self, seat: Seat) -> None:
+        epoch = self.membership.next_offset
+        try:
+            reply = await self.peers.call(
+                url=seat.url,
+                path="/peer/handover",
+                message=HandoverCall(seat=self.seat, domains=self._domains()),
+                reply=HandoverReply,
+                timeout_s=HANDOVER_TIMEOUT_S,
+            )
+        except PeerUnavailableError as error:
+            log.info("handover_unreachable", extra={"from": seat.id, "error": error})
+            return
+        # One that is behind may still grant keys that have become ours.
+        if reply.epoch >= epoch and reply.seat.id == seat.id:
+            self.home.take_over(reply)
+
+    async def _forget(self) -> None:
+        while True:
+            await asyncio.sleep(FORGET_PERIOD_S)
+            self.home.forget_old()
+            self.book.forget_old()
+
+    async def _hand_over_seat(self) -> None:
+        """Close our seat and give the peers time to learn what we know as a home."""
+        try:
+            await self.keeper.close()
+        except LogUnavailableError as error:
+            log.warning("seat_left_open", extra={"error": error})
+            return
+        await asyncio.sleep(4 * self.settings.timing.heartbeat_s + 2 * HANDOVER_PERIOD_S)
+
+
+def read_secret(path: str) -> str:
+    """Return what a file of a secret holds, or nothing for no file.
+
+    :raises SettingsError: if the file can't be read or is empty.
+    """
+    if not path:
+        return ""
+    try:
+        secret = Path(path).read_text(encoding="utf-8").strip()
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    if not secret:
+        raise SettingsError(f"{path}: the file is empty")
+    return secret
--- /dev/null
+++ b/zincwell/listeners/__init__.py
@@ -0,0 +1,7 @@
+"""Listeners of an entry: for callers, for peers and for operators, each on its own port."""
+
+from zincwell.listeners._callers import CallersListener
+from zincwell.listeners._operators import OperatorsListener
+from zincwell.listeners._peers import PeersListener
+
+__all__ = ["CallersListener", "OperatorsListener", "PeersListener"]
--- /dev/null
+++ b/zincwell/settings.py
@@ -0,0 +1,160 @@
+"""Settings of one process, read from TOML and checked at start.
+
+Settings say what differs from VM to VM: addresses, failure domain, files of secrets. What
+operators agree on for the whole system is the configuration document.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta, Struct
+
+from zincwell.exceptions import SettingsError
+from zincwell.models import Name
+
+Port = Annotated[int, Meta(ge=0, le=65_535)]
+Bytes = Annotated[int, Meta(ge=1_024)]
+Seconds = Annotated[float, Meta(gt=0, le=86_400)]
+
+
+class ListenerSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Address and limits of one listener.
+
+    :param host: IP number to listen on.
+    :param port: TCP port; 0 lets the operating system choose.
+    :param max_body_bytes: a longer request body is refused with 413.
+    :param max_header_bytes: a longer request header is refused.
+    :param tls_cert: file with a certificate chain in PEM; empty serves plain HTTP.
+    :param tls_key: file with its private key in PEM.
+    """
+
+    host: str = "127.0.0.1"
+    port: Port = 0
+    max_body_bytes: Bytes = 8 * 1024 * 1024
+    max_header_bytes: Bytes = 8 * 1024
+    tls_cert: str = ""
+    tls_key: str = ""
+
+
+class PlatformSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Where the platform is.
+
+    :param log_url: base URL of the log service.
+    :param directory_url: base URL of the list of VMs.
+    """
+
+    log_url: str
+    directory_url: str
+
+
+class TimingSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Periods in seconds; the defaults suit failure domains some milliseconds apart.
+
+    :param seat_lease_s: how long contact with the log or the peers lets a home grant claims.
+    :param peer_silence_s: silence after which a peer's seat is closed; over two leases.
+    :param heartbeat_s: period of heartbeats between peers.
+    :param claim_budget_s: how long an entry tries to reach the home of a key.
+    :param worker_lease_s: lifetime asked for a worker lease.
+    :param accept_silence_s: wait for a worker to accept a start before it is checked anew.
+    :param stream_silence_s: silence on a worker's stream after which it is checked anew.
+    :param lost_grace_s: how long a lost worker is asked about its tasks before giving up.
+    :param directory_poll_s: period of reading the list of VMs.
+    :param resubmission_window_s: how long keys and answers are remembered.
+    :param clock_margin_s: largest difference assumed between the clocks of two VMs.
+    :param drain_notice_s: time between readiness going off and the listener closing.
+    :param seat_snapshot_s: period after which the seats are written to the log as a whole.
+    """
+
+    seat_lease_s: Seconds = 1.0
+    peer_silence_s: Seconds = 3.0
+    heartbeat_s: Seconds = 0.25
+    claim_budget_s: Seconds = 1.5
+    worker_lease_s: Seconds = 5.0
+    accept_silence_s: Seconds = 0.5
+    stream_silence_s: Seconds = 1.5
+    lost_grace_s: Seconds = 2.0
+    directory_poll_s: Seconds = 0.5
+    resubmission_window_s: Seconds = 600.0
+    clock_margin_s: Seconds = 0.5
+    drain_notice_s: Seconds = 2.0
+    seat_snapshot_s: Seconds = 600.0
+
+
+class MemorySettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Bounds on what an entry remembers.
+
+    :param max_answer_bytes: outputs of finished jobs kept for resubmissions.
+    :param max_queued_tasks: tasks queued in this entry before admission refuses.
+    """
+
+    max_answer_bytes: Bytes = 64 * 1024 * 1024
+    max_queued_tasks: Annotated[int, Meta(ge=1)] = 50_000
+
+
+class Settings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Everything that one entry is told at its start.
+
+    :param vm: name of this VM, unique among the entries.
+    :param domain: failure domain of this VM.
+    :param peers_url: base URL by which peers reach this entry, if not by what it listens on.
+    :param peer_key_file: file with the key that peers prove to each other; empty: no check.
+    :param operator_token_file: file with the operators' bearer token; empty: loopback only.
+    :param otlp_endpoint: URL that metrics are sent to; empty keeps them local.
+    :param log_level: debug, info, warning or error.
+    """
+
+    vm: Name
+    domain: Name
+    platform: PlatformSettings
+    callers: ListenerSettings = ListenerSettings()
+    peers: ListenerSettings = ListenerSettings()
+    operators: ListenerSettings = ListenerSettings()
+    timing: TimingSettings = TimingSettings()
+    memory: MemorySettings = MemorySettings()
+    peers_url: str = ""
+    peer_key_file: str = ""
+    operator_token_file: str = ""
+    otlp_endpoint: str = ""
+    log_level: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
+
+
+def load_settings(path: str | Path) -> Settings:
+    """Read a settings file.
+
+    :raises SettingsError: naming the file, the key and what is allowed.
+    """
+    try:
+        text = Path(path).read_text(encoding="utf-8")
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    return parse_settings(text, source=str(path))
+
+
+def parse_settings(text: str, *, source: str) -> Settings:
+    """Check the text of a settings file.
+
+    :param source: what to call the text in an error.
+    :raises SettingsError: naming the source, the key and what is allowed.
+    """
+    try:
+        settings = msgspec.convert(tomllib.loads(text), Settings)
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError(f"{source}: not TOML: {error}") from error
+    except msgspec.ValidationError as error:
+        raise SettingsError(f"{source}: {error}") from error
+    _check_timing(settings.timing, source)
+    return settings
+
+
+def _check_timing(timing: TimingSettings, source: str) -> None:
+    """Refuse periods under which two homes could grant the same key."""
+    if timing.peer_silence_s <= 2 * timing.seat_lease_s:
+        raise SettingsError(
+            f"{source}: timing.peer_silence_s must be over twice timing.seat_lease_s"
+        )
+    if timing.heartbeat_s * 3 > timing.seat_lease_s:
+        raise SettingsError(f"{source}: timing.seat_lease_s must be over 3 timing.heartbeat_s")
--- /dev/null
+++ b/zincwell/standins/_worker.py
@@ -0,0 +1,282 @@
+"""Stand-in for a worker: sleeps instead of working and keeps a ledger of its starts."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import uuid
+from dataclasses import dataclass, field
+
+import msgspec
+from aiohttp import web
+from msgspec import Raw, Struct
+
+from zincwell.adapters._worker import LeaseCall, StartCall, StopCall, WatchCall
+from zincwell.models import NO_VALUE
+from zincwell.ports import EventKind, Start, WorkerEvent, WorkerLease
+from zincwell.standins._server import StandinServer, reply
+
+BEAT_S = 0.3
+MAX_KEPT = 200_000
+
+
+class Work(Struct, frozen=True):
+    """What a stand-in worker makes of a payload: sleep, then echo.
+
+    :param fail: end as a failure of the task itself.
+    """
+
+    sleep_ms: float = 0
+    echo: Raw = Raw(b"null")
+    fail: bool = False
+
+
+class Started(Struct, frozen=True):
+    """One line of the ledger: this task was started, by this entry."""
+
+    id: str
+    entry: str
+    at: float
+
+
+@dataclass
+class _Run:
+    """State of one task id at the worker."""
+
+    final: WorkerEvent | None = None
+    done: asyncio.Event = field(default_factory=asyncio.Event)
+    job: asyncio.Task | None = None
+
+    def end(self, event: WorkerEvent) -> None:
+        if self.final is None:
+            self.final = event
+            self.done.set()
+
+
+class StandinWorker(StandinServer):
+    """Worker with slots.
+
+    Switches: ``fail_all`` fails each task at once, ``slow`` multiplies run times, ``leaving``
+    refuses starts, ``truncate`` cuts that many outputs, ``cross`` answers that many tasks under
+    another's id, ``break_after_start`` closes that many streams right after the start,
+    ``delay_s`` holds answers back.
+    """
+
+    switches = frozenset(
+        {
+            "fail_all",
+            "slow",
+            "leaving",
+            "truncate",
+            "cross",
+            "break_after_start",
+            "delay_s",
+            "slots",
+        }
+    )
+
+    def __init__(self, *, slots: int = 8) -> None:
+        super().__init__()
+        self.slots = slots
+        self.fail_all = False
+        self.slow = 1.0
+        self.leaving = False
+        self.truncate = 0
+        self.cross = 0
+        self.break_after_start = 0
+        self.delay_s = 0.0
+        self.running = 0
+        self.ledger: list[Started] = []
+        self.calls_by_kind: dict[str, int] = {}
+        self._runs_by_id: dict[str, _Run] = {}
+        self._expiry_by_lease: dict[str, float] = {}
+        routes = self.app.router
+        routes.add_post("/leases", self._lease)
+        routes.add_post("/starts", self._start)
+        routes.add_post("/watches", self._watch)
+        routes.add_post("/stops", self._stop)
+        routes.add_get("/ledger", self._show_ledger)
+        routes.add_get("/calls", self._show_calls)
+
+    async def _lease(self, request: web.Request) -> web.Response:
+        call = msgspec.json.decode(await request.read(), type=LeaseCall)
+        self._count("lease")
+        lease = uuid.uuid4().hex
+        now = time.monotonic()
+        self._expiry_by_lease = {k: at for k, at in self._expiry_by_lease.items() if at > now}
+        self._expiry_by_lease[lease] = now + call.ttl_s
+        return reply(
+            WorkerLease(
+                lease=lease,
+                ttl_s=call.ttl_s,
+                slots=self.slots,
+                running=self.running,
+                leaving=self.leaving,
+            )
+        )
+
+    async def _start(self, request: web.Request) -> web.StreamResponse:
+        call = msgspec.json.decode(await request.read(), type=StartCall)
+        self._count("start")
+        response = await _open_stream(request)
+        watched = []
+        for task in call.tasks:
+            event = self._admit(task, call)
+            await _send(response, event)
+            if event.kind is EventKind.ACCEPTED:
+                watched.append(task.id)
+        if self.break_after_start > 0:
+            self.break_after_start -= 1
+            request.transport.close()
+            return response
+        await self._follow(response, watched)
+        return response
+
+    def _admit(self, task: Start, call: StartCall) -> WorkerEvent:
+        reason = self._reason_to_refuse(task.id, call.lease)
+        if reason:
+            self._count("refused")
+            return WorkerEvent(
+                kind=EventKind.REFUSED, id=task.id, reason=reason, running=self.running
+            )
+        run = _Run()
+        self._remember(task.id, run)
+        self.running += 1
+        self.ledger.append(Started(id=task.id, entry=call.entry, at=time.time()))
+        run.job = asyncio.create_task(self._work(task, run))
+        run.job.add_done_callback(self._release_slot)
+        return WorkerEvent(kind=EventKind.ACCEPTED, id=task.id, running=self.running)
+
+    def _reason_to_refuse(self, task_id: str, lease: str) -> str:
+        if task_id in self._runs_by_id:
+            return "seen"
+        if self._expiry_by_lease.get(lease, 0) <= time.monotonic():
+            return "lease"
+        if self.leaving:
+            return "leaving"
+        return "full" if self.running >= self.slots else ""
+
+    async def _work(self, task: Start, run: _Run) -> None:
+        try:
+            work = msgspec.json.decode(task.payload, type=Work)
+            if self.fail_all or work.fail:
+                run.end(self._event(EventKind.FAILED, task.id, reason="task_error"))
+                return
+            await asyncio.sleep(work.sleep_ms * self.slow / 1000)
+            output = bytes(work.echo)
+            run.end(self._event(EventKind.COMPLETED, task.id, output=output))
+        except msgspec.MsgspecError as error:
+            run.end(self._event(EventKind.FAILED, task.id, reason=str(error)))
+        except asyncio.CancelledError:
+            run.end(self._event(EventKind.STOPPED, task.id, reason="stopped"))
+
+    def _release_slot(self, _: asyncio.Task) -> None:
+        self.running -= 1
+
+    def _event(
+        self, kind: EventKind, task_id: str, *, reason: str = "", output: bytes | None = None
+    ) -> WorkerEvent:
+        raw = NO_VALUE if output is None else Raw(output)
+        return WorkerEvent(
+            kind=kind, id=task_id, reason=reason, output=raw, length=len(output or b"")
+        )
+
+    async def _watch(self, request: web.Request) -> web.StreamResponse:
+        call = msgspec.json.decode(await request.read(), type=WatchCall)
+        self._count("watch")
+        response = await _open_stream(request)
+        watched = []
+        for task_id in call.ids:
+            if task_id not in self._runs_by_id and call.fence:
+                self._fence(task_id)
+            watched.append(task_id)
+            run = self._runs_by_id.get(task_id)
+            if run is None or run.final is None:
+                await _send(response, self._event(EventKind.RUNNING, task_id))
+        await self._follow(response, watched)
+        return response
+
+    def _fence(self, task_id: str) -> WorkerEvent:
+        """Leave a tombstone, so that a start of the id that is still on its way is refused."""
+        run = _Run()
+        run.end(self._event(EventKind.FENCED, task_id, reason="never seen"))
+        self._remember(task_id, run)
+        return run.final
+
+    async def _follow(self, response: web.StreamResponse, ids: list[str]) -> None:
+        waits = {
+            asyncio.create_task(self._runs_by_id[task_id].done.wait()): task_id
+            for task_id in ids
+            if task_id in self._runs_by_id
+        }
+        try:
+            while waits:
+                done, _ = await asyncio.wait(
+                    waits, timeout=BEAT_S, return_when=asyncio.FIRST_COMPLETED
+                )
+                if not done:
+                    await _send(response, WorkerEvent(kind=EventKind.BEAT, running=self.running))
+                for wait in done:
+                    await self._answer(response, waits.pop(wait))
+            await response.write_eof()
+        except ConnectionError:
+            return
+        finally:
+            for wait in waits:
+                wait.cancel()
+
+    async def _answer(self, response: web.StreamResponse, task_id: str) -> None:
+        event = self._runs_by_id[task_id].final
+        await asyncio.sleep(self.delay_s)
+        event = msgspec.structs.replace(event, running=self.running)
+        if self.cross > 0:
+            self.cross -= 1
+            event = msgspec.structs.replace(event, id="another#0.1")
+        line = msgspec.json.encode(event)
+        if self.truncate > 0:
+            self.truncate -= 1
+            await response.write(line[: len(line) // 2])
+            response._req.transport.close()
+            return
+        await response.write(line + b"\n")
+
+    async def _stop(self, request: web.Request) -> web.Response:
+        call = msgspec.json.decode(await request.read(), type=StopCall)
+        self._count("stop")
+        events = []
+        for task_id in call.ids:
+            run = self._runs_by_id.get(task_id)
+            if run is None:
+                events.append(self._fence(task_id))
+                continue
+            if run.final is None and run.job is not None:
+                run.job.cancel()
+                run.end(self._event(EventKind.STOPPED, task_id, reason="stopped"))
+            else:
+                self._count("stop_of_finished")
+            events.append(run.final)
+        return reply(events)
+
+    async def _show_ledger(self, _: web.Request) -> web.Response:
+        return reply(self.ledger)
+
+    async def _show_calls(self, _: web.Request) -> web.Response:
+        return reply(self.calls_by_kind)
+
+    def _remember(self, task_id: str, run: _Run) -> None:
+        self._runs_by_id[task_id] = run
+        while len(self._runs_by_id) > MAX_KEPT:
+            self._runs_by_id.pop(next(iter(self._runs_by_id)))
+
+    def _count(self, kind: str) -> None:
+        self.calls_by_kind[kind] = self.calls_by_kind.get(kind, 0) + 1
+
+
+async def _open_stream(request: web.Request) -> web.StreamResponse:
+    response = web.StreamResponse(headers={"Content-Type": "application/x-ndjson"})
+    await response.prepare(request)
+    return response
+
+
+async def _send(response: web.StreamResponse, event: WorkerEvent) -> None:
+    await response.write(msgspec.json.encode(event) + b"\n")
