Let a successor home know the keys that it owns itself

Cause: a home keeps its grants in memory. Its successor asks all other entries what they own, but when the successor is the owner itself it asked nobody, and answered a resend of its own running job with outcome_unknown (home_changed).

Ruled out: that the handover came too late (the log showed it complete, and the reply was final, without retry-after).

Change: the home looks among the entry's own keys too. A home that is taking over names the time left in its retry-after instead of a fixed 200 ms.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import collections
+import itertools
 import os
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -17,6 +18,7 @@
 import tomli_w
 
 from tests.relay import Relay
+from zincwell.core._membership import Seat, home_of_key
 
 OPEN_TIMEOUT_S = 30.0
 WAIT_TIMEOUT_S = 30.0
@@ -99,6 +101,9 @@
     log_relay: Relay | None = None
     directory_relay: Relay | None = None
     processes: list[Process] = field(default_factory=list)
+    numbers: Iterator[int] = field(default_factory=itertools.count)
+    entry_numbers: Iterator[int] = field(default_factory=itertools.count)
+    worker_numbers: Iterator[int] = field(default_factory=itertools.count)
 
     # -- building ------------------------------------------------------------------------
 
@@ -114,11 +119,12 @@
                 **document,
             }
         )
+        starting = []
         for domain, (entries, workers) in domains.items():
-            for _ in range(workers):
-                await self.add_worker(domain, slots=slots)
-            for _ in range(entries):
-                await self.add_entry(domain)
+            starting += [self.add_worker(domain, slots=slots) for _ in range(workers)]
+            starting += [self.add_entry(domain) for _ in range(entries)]
+        await asyncio.gather(*starting)
+        self.entry_by_vm = dict(sorted(self.entry_by_vm.items()))
         await self.wait_settled()
 
     async def open_platform(self) -> None:
@@ -128,7 +134,7 @@
         self.directory_relay = await self._relay(self.directory.fields["url"])
 
     async def add_worker(self, domain: str, *, slots: int = 8) -> WorkerProcess:
-        vm = f"worker-{len(self.worker_by_vm)}"
+        vm = f"worker-{next(self.worker_numbers)}"
         started = await self._start(vm, "-m", "zincwell.standins", "worker", "--slots", str(slots))
         relay = await self._relay(started.fields["url"])
         worker = WorkerProcess(**vars(started), vm=vm, domain=domain, relay=relay)
@@ -152,10 +158,11 @@
         await self.put(f"{self.directory.fields['url']}/vms/{worker.vm}", row)
 
     async def add_entry(self, domain: str, *, vm: str | None = None) -> EntryProcess:
-        vm = vm or f"entry-{len(self.entry_by_vm)}"
-        address = f"127.0.0.{10 + len(self.processes)}"
+        vm = vm or f"entry-{next(self.entry_numbers)}"
+        number = next(self.numbers)
+        address = f"127.0.0.{10 + number}"
         relay = await self._relay(None)
-        path = self.folder / f"{vm}-{len(self.processes)}.toml"
+        path = self.folder / f"{vm}-{number}.toml"
         path.write_text(tomli_w.dumps(self._entry_settings(vm, domain, address, relay)))
         started = await self._start(vm, "-m", "zincwell", "entry", str(path))
         relay.aim(started.fields["peers"])
@@ -191,7 +198,7 @@
         return relay
 
     async def _start(self, name: str, *arguments: str) -> Process:
-        log_path = self.folder / f"{name}-{len(self.processes)}.log"
+        log_path = self.folder / f"{name}-{next(self.numbers)}.log"
         with log_path.open("wb") as log:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -266,6 +273,17 @@
         suffix = "" if wait else "?wait=0"
         return await self.post(entry.callers + "/v1/submissions" + suffix, submission)
 
+    async def resend(self, entry: EntryProcess, submission: dict) -> dict:
+        """Send again, counting attempts and honouring retry-after, until it does not help."""
+        attempt = submission.get("attempt") or 1
+        for _ in range(50):
+            attempt += 1
+            _, answer = await self.submit(entry, {**submission, "attempt": attempt})
+            if answer["outcome"] == "completed" or "retry_after_ms" not in answer:
+                return answer
+            await asyncio.sleep(answer["retry_after_ms"] / 1000)
+        raise AssertionError(f"told to come back for ever: {answer}")
+
     async def post(self, url: str, value: Any) -> tuple[int, Any]:
         async with self.session.post(url, data=msgspec.json.encode(value)) as response:
             return response.status, msgspec.json.decode(await response.read())
@@ -294,6 +312,24 @@
         names = (start["id"].rpartition(".")[0] for start in await self.ledger())
         return dict(collections.Counter(names))
 
+    async def wait_started(self, count: int) -> None:
+        """Wait until the workers have started a number of tasks."""
+
+        async def started() -> bool:
+            return len(await self.ledger()) >= count
+
+        await self.wait_for(f"{count} starts", started)
+
+    def home_of(self, key: str, *, tenant: str = "school") -> EntryProcess:
+        """Return the live entry that is home to a key of its domain."""
+        domain = key.partition("/")[0]
+        seats = [
+            Seat(vm=entry.vm, incarnation="", domain=domain, url="")
+            for entry in self.live_entries()
+            if entry.domain == domain
+        ]
+        return self.entry_by_vm[home_of_key(f"{key}@{tenant}", seats).vm]
+
     # -- waiting for a condition ---------------------------------------------------------
 
     async def wait_for(self, what: str, condition: Callable) -> None:
--- /dev/null
+++ b/tests/samples.py
@@ -0,0 +1,34 @@
+"""Submissions as callers send them."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+from tests.cluster import Cluster
+
+
+def make_submission(
+    *, key: str, tasks: int = 8, sleep_ms: float = 50, attempt: int | None = 1, **fields: Any
+) -> dict[str, Any]:
+    """A submission of tasks that sleep and echo their number."""
+    return {
+        "key": key,
+        "created_at": time.time(),
+        "tenant": "school",
+        "service": "transcriber",
+        "tasks": [{"payload": {"sleep_ms": sleep_ms, "echo": n}} for n in range(tasks)],
+        **({} if attempt is None else {"attempt": attempt}),
+        **fields,
+    }
+
+
+def key_at(cluster: Cluster, *, domain: str, home: str) -> str:
+    """Return a key of a domain whose home is the entry named."""
+    keys = (f"{domain}/page-{number}" for number in range(1_000))
+    return next(key for key in keys if cluster.home_of(key).vm == home)
+
+
+def echoes(answer: dict[str, Any]) -> list[Any]:
+    """Return the outputs of an answer, by task."""
+    return [task.get("output") for task in answer["tasks"]]
--- a/zincwell/core/_home.py
+++ b/zincwell/core/_home.py
@@ -51,6 +51,8 @@
     """Grants the keys that this entry is home to.
 
     :param domains: returns the domains that the configuration spreads keys over.
+    :param owned_here: returns what this entry itself owns under a key. A successor home is
+        often the owner of keys that the home before it granted.
     """
 
     def __init__(
@@ -61,7 +63,9 @@
         clock: Clock,
         timing: TimingSettings,
         domains: Callable[[], list[str]],
+        owned_here: Callable[[str], OwnedKey | None],
     ):
+        self._owned_here = owned_here
         self._domains = domains
         self._keeper = keeper
         self._membership = membership
@@ -84,7 +88,7 @@
             return ClaimReply(kind=ClaimKind.MOVED)
         if not self._keeper.may_grant() or self._keeper.leaving:
             return _not_ready("no_lease")
-        owned = self._owned_by_key.get(claim.key)
+        owned = self._owned_by_key.get(claim.key) or self._owned_here(claim.key)
         if owned is None:
             return self._claim_new(asker, claim)
         if claim.intent is Intent.REFUSE and owned.owner.id == asker.id:
@@ -166,8 +170,9 @@
 
     def _claim_new(self, asker: Seat, claim: Claim) -> ClaimReply:
         home_since, grants_from = self._home_since(claim.key)
-        if self._clock.monotonic() < grants_from:
-            return _not_ready("taking_over")
+        wait_s = grants_from - self._clock.monotonic()
+        if wait_s > 0:
+            return _not_ready("taking_over", round(wait_s * 1000) + NOT_READY_MS)
         fresh = claim.created_at > home_since + self._timing.clock_margin_s
         if claim.attempt == 1 or fresh:
             return self._decide_new(asker, claim)
@@ -237,5 +242,5 @@
     return ClaimReply(kind=ClaimKind.GRANTED, owner=owned.owner, serial=owned.serial)
 
 
-def _not_ready(reason: str) -> ClaimReply:
-    return ClaimReply(kind=ClaimKind.NOT_READY, reason=reason, retry_after_ms=NOT_READY_MS)
+def _not_ready(reason: str, retry_after_ms: int = NOT_READY_MS) -> ClaimReply:
+    return ClaimReply(kind=ClaimKind.NOT_READY, reason=reason, retry_after_ms=retry_after_ms)
--- a/zincwell/core/_submissions.py
+++ b/zincwell/core/_submissions.py
@@ -189,15 +189,19 @@
 
     def owned_keys(self) -> list[OwnedKey]:
         """Return all keys that we own, for a new home."""
-        return [
-            OwnedKey(
-                key=key,
-                owner=self._seat,
-                serial=self._book.serial_by_key[key],
-                created_at=job.created_at,
-            )
-            for key, job in self._book.jobs_by_key.items()
-        ]
+        return [self.owned_key(key) for key in self._book.jobs_by_key]
+
+    def owned_key(self, key: str) -> OwnedKey | None:
+        """Return what we own under a key, or None."""
+        job = self._book.jobs_by_key.get(key)
+        if job is None:
+            return None
+        return OwnedKey(
+            key=key,
+            owner=self._seat,
+            serial=self._book.serial_by_key[key],
+            created_at=job.created_at,
+        )
 
     # -- owning --------------------------------------------------------------------------
 
--- a/zincwell/entry.py
+++ b/zincwell/entry.py
@@ -279,6 +279,7 @@
             clock=clock,
             timing=timing,
             domains=self._domains,
+            owned_here=lambda key: self.submissions.owned_key(key),
         )
         transport = HttpPeerTransport(session=self._session, key=peer_key)
         self.peers = Peers(transport=transport, timing=timing)
--- a/zincwell/standins/_worker.py
+++ b/zincwell/standins/_worker.py
@@ -136,6 +136,7 @@
         reason = self._reason_to_refuse(task.id, call.lease)
         if reason:
             self._count("refused")
+            self._count(f"refused_{reason}")
             return WorkerEvent(
                 kind=EventKind.REFUSED, id=task.id, reason=reason, running=self.running
             )
