--- a/zincwell/core/_configuration.py
+++ b/zincwell/core/_configuration.py
@@ -22,7 +22,7 @@
 from zincwell.ports import Record
 
 STREAM = "config"
-KEPT_VERDICTS = 1_000
+KEPT_VERDICTS = 100
 
 log = logging.getLogger("zincwell.configuration")
 
@@ -42,20 +42,11 @@
     note: str = ""
 
 
-class ConfigSnapshot(Struct, frozen=True, kw_only=True, tag_field="kind", tag="snapshot"):
-    """The whole state, written before the log drops the records that led to it."""
-
-    through: int
-    state: dict[str, Any]
-
-
-ConfigRecord = Change | ConfigSnapshot
-
-
 class Verdict(Struct, frozen=True, kw_only=True):
     """What became of a change; the same on every entry.
 
     :param version: version that it made, if accepted.
+    :param patch: what it changed, if accepted.
     """
 
     id: str
@@ -64,6 +55,7 @@
     reason: str = ""
     by: str = ""
     note: str = ""
+    patch: dict[str, Any] = {}
 
 
 class Configuration(Fold):
@@ -80,19 +72,16 @@
         self.document: Document | None = None
         self.value: dict[str, Any] = {}
         self.verdict_by_id: OrderedDict[str, Verdict] = OrderedDict()
-        self.last_snapshot_offset = -1
         self.on_change: list[Callable[[Document], None]] = []
 
     def _apply(self, record: Record) -> None:
         try:
-            value = msgspec.convert(record.value, ConfigRecord)
+            change = msgspec.convert(record.value, Change)
         except msgspec.ValidationError as error:
             log.warning("config_record_malformed", extra={"offset": record.offset, "error": error})
             return
-        if isinstance(value, ConfigSnapshot):
-            self.last_snapshot_offset = record.offset
-        elif value.id not in self.verdict_by_id:
-            self._judge(value, record.offset)
+        if change.id not in self.verdict_by_id:
+            self._judge(change, record.offset)
 
     def _judge(self, change: Change, offset: int) -> None:
         if change.base != self.version:
@@ -107,10 +96,22 @@
             return
         self.version, self.value, self.document = offset, merged, document
         self._note(
-            Verdict(id=change.id, accepted=True, version=offset, by=change.by, note=change.note)
+            Verdict(
+                id=change.id,
+                accepted=True,
+                version=offset,
+                by=change.by,
+                note=change.note,
+                patch=change.patch,
+            )
         )
         self._tell()
 
+    def changes_since(self, version: int) -> list[Verdict]:
+        """Return the changes accepted after a version, as far as they are remembered."""
+        verdicts = self.verdict_by_id.values()
+        return [one for one in verdicts if one.accepted and one.version > version]
+
     def _note(self, verdict: Verdict) -> None:
         self.verdict_by_id[verdict.id] = verdict
         while len(self.verdict_by_id) > KEPT_VERDICTS:
--- a/zincwell/core/_follow.py
+++ b/zincwell/core/_follow.py
@@ -25,19 +25,26 @@
     """State folded from one stream.
 
     :ivar next_offset: offset of the record to be read next; only ever grows.
+    :ivar snapshot_offset: offset of the latest snapshot record seen.
     """
 
     stream: str
 
     def __init__(self) -> None:
         self.next_offset = 0
+        self.snapshot_offset = 0
+        self._changed = asyncio.Event()
 
     def take(self, record: Record) -> None:
         """Fold one record, unless it was folded before."""
         if record.offset < self.next_offset:
             return
-        self._apply(record)
+        if record.value.get("kind") == "snapshot":
+            self.snapshot_offset = record.offset
+        else:
+            self._apply(record)
         self.next_offset = record.offset + 1
+        self._tell_changed()
 
     def adopt(self, *, next_offset: int, snapshot: dict[str, Any]) -> bool:
         """Take over a later state from a peer or a snapshot record.
@@ -48,11 +55,21 @@
             return False
         self._load(snapshot)
         self.next_offset = next_offset
+        self.snapshot_offset = next_offset
+        self._tell_changed()
         return True
 
+    async def changed(self) -> None:
+        """Wait for the next record or snapshot to be folded."""
+        await self._changed.wait()
+
+    def _tell_changed(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     @abc.abstractmethod
     def _apply(self, record: Record) -> None:
-        """Fold one record."""
+        """Fold one record that is no snapshot."""
 
     @abc.abstractmethod
     def _load(self, snapshot: dict[str, Any]) -> None:
--- a/zincwell/core/_membership.py
+++ b/zincwell/core/_membership.py
@@ -56,18 +56,7 @@
     by: str
 
 
-class SeatsSnapshot(Struct, frozen=True, kw_only=True, tag_field="kind", tag="snapshot"):
-    """All open seats, written before the log drops their records.
-
-    :param through: next offset of the fold whose state this is; records between it and this
-        one are not in the state.
-    """
-
-    through: int
-    state: dict[str, Any]
-
-
-SeatRecord = OpenSeat | CloseSeat | SeatsSnapshot
+SeatRecord = OpenSeat | CloseSeat
 
 
 class Membership(Fold):
@@ -82,7 +71,6 @@
     def __init__(self) -> None:
         super().__init__()
         self.seats_by_vm: dict[str, Seat] = {}
-        self.last_snapshot_offset = 0
         self.on_change: list[Callable[[str, bool], None]] = []
 
     def is_open(self, *, vm: str, incarnation: str) -> bool:
@@ -102,10 +90,8 @@
             return
         if isinstance(value, OpenSeat):
             self._open(value, record.offset)
-        elif isinstance(value, CloseSeat):
-            self._close(value)
         else:
-            self.last_snapshot_offset = record.offset
+            self._close(value)
 
     def _open(self, value: OpenSeat, offset: int) -> None:
         if self.is_open(vm=value.vm, incarnation=value.incarnation):
--- a/zincwell/core/_seat.py
+++ b/zincwell/core/_seat.py
@@ -16,7 +16,7 @@
 import msgspec
 
 from zincwell.core._follow import NEVER, Follower
-from zincwell.core._membership import CloseSeat, Membership, OpenSeat, Seat, SeatsSnapshot
+from zincwell.core._membership import CloseSeat, Membership, OpenSeat, Seat
 from zincwell.exceptions import LogUnavailableError
 from zincwell.ports import Clock, LogService
 from zincwell.settings import TimingSettings
@@ -61,7 +61,6 @@
         self._timing = timing
         self._closing: set[str] = set()
         self._joined = False
-        self._snapshot_at = clock.monotonic()
         self.leaving = False
 
     @property
@@ -74,6 +73,10 @@
         seats = self.membership.seats_of(self.seat.domain)
         return [seat for seat in seats if seat.vm != self.seat.vm]
 
+    def is_first(self) -> bool:
+        """Tell whether our seat is the first of all by name."""
+        return self.is_open and min(self.membership.seats_by_vm) == self.seat.vm
+
     def may_grant(self) -> bool:
         """Tell whether this entry may grant claims as a home at this very moment.
 
@@ -154,7 +157,6 @@
         for seat in self.others():
             if self._is_silent(seat):
                 await self._close_peer(seat)
-        await self._write_snapshot_when_due()
 
     def _is_silent(self, seat: Seat) -> bool:
         silent_s = self._clock.monotonic() - self._contact(seat).heard_at
@@ -170,17 +172,7 @@
         await self._append(CloseSeat(vm=seat.vm, incarnation=seat.incarnation, by=self.seat.id))
         log.info("seat_closed", extra={"seat": seat.id, "by": self.seat.id})
 
-    async def _write_snapshot_when_due(self) -> None:
-        """Write the seats as a whole, so that a newcomer needs no record older than that."""
-        first = min(self.membership.seats_by_vm, default="")
-        now = self._clock.monotonic()
-        if first != self.seat.vm or now - self._snapshot_at < self._timing.seat_snapshot_s:
-            return
-        self._snapshot_at = now
-        through = self.membership.next_offset
-        await self._append(SeatsSnapshot(through=through, state=self.membership.snapshot()))
-
-    async def _append(self, record: OpenSeat | CloseSeat | SeatsSnapshot) -> None:
+    async def _append(self, record: OpenSeat | CloseSeat) -> None:
         """Append and wait for the fold to reach the record, so that no step goes twice."""
         value = msgspec.to_builtins(record)
         offset = await self._log_service.append(stream=self.membership.stream, value=value)
--- a/zincwell/daemon.py
+++ b/zincwell/daemon.py
@@ -32,10 +32,9 @@
     entry = Entry(settings=settings)
     await entry.open()
     print_ready(entry)
-    stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(number, stopped.set)
-    await stopped.wait()
+        asyncio.get_running_loop().add_signal_handler(number, entry.ask_to_drain)
+    await entry.drain_asked.wait()
     await entry.drain()
 
 
--- a/zincwell/entry.py
+++ b/zincwell/entry.py
@@ -29,7 +29,9 @@
 from zincwell.core._ownership import Ownership
 from zincwell.core._peers import Heartbeats, Peers
 from zincwell.core._pool import Shares
+from zincwell.core._publishing import Publisher
 from zincwell.core._seat import SeatKeeper
+from zincwell.core._snapshots import SnapshotWriter
 from zincwell.core._submissions import Submissions
 from zincwell.exceptions import LogUnavailableError, PeerUnavailableError, SettingsError
 from zincwell.listeners import CallersListener, OperatorsListener, PeersListener
@@ -97,6 +99,7 @@
         self.metrics = Metrics()
         self.incarnation = uuid.uuid4().hex[:12]
         self.is_draining = False
+        self.drain_asked = asyncio.Event()
         self._session: aiohttp.ClientSession | None = None
         self._tasks: list[asyncio.Task] = []
 
@@ -133,6 +136,7 @@
                 self.keeper.run(),
                 self.heartbeats.run(),
                 self.watcher.run(),
+                self.snapshots.run(),
                 self._recover_keys(),
                 self._forget(),
             )
@@ -158,6 +162,10 @@
         await self.close()
         log.info("drain_ends", extra={"vm": self.settings.vm})
 
+    def ask_to_drain(self) -> None:
+        """Tell whoever runs this entry to drain it."""
+        self.drain_asked.set()
+
     async def close(self) -> None:
         """Stop at once."""
         for task in self._tasks:
@@ -283,6 +291,14 @@
         )
         transport = HttpPeerTransport(session=self._session, key=peer_key)
         self.peers = Peers(transport=transport, timing=timing)
+        self.publisher = Publisher(configuration=self.configuration, log_service=log_service)
+        self.snapshots = SnapshotWriter(
+            folds=[self.membership, self.configuration],
+            log_service=log_service,
+            clock=clock,
+            is_writer=self.keeper.is_first,
+            period_s=timing.snapshot_s,
+        )
         self.dispatcher = Dispatcher(
             entry=self.seat.id,
             domain=settings.domain,
--- a/zincwell/exceptions.py
+++ b/zincwell/exceptions.py
@@ -24,6 +24,10 @@
     """No entry could be reached, or what it answered makes no sense."""
 
 
+class AdminError(ZincwellError):
+    """An entry's listener for operators refused a call or did not answer."""
+
+
 class PlatformError(ZincwellError):
     """The platform did not serve a call (base of the two below)."""
 
--- a/zincwell/listeners/_operators.py
+++ b/zincwell/listeners/_operators.py
@@ -1,32 +1,143 @@
-"""The listener for operators: health, metrics, status."""
+"""The listener for operators: health, metrics, status, configuration, drain."""
 
 from __future__ import annotations
 
+import hmac
+from typing import Any
+
+import msgspec
+from msgspec import Struct
+from result import Err
 from sanic import HTTPResponse, Request
 
+from zincwell.core._configuration import Verdict, make_patch
+from zincwell.core._publishing import Proposal
+from zincwell.document import parse_document
+from zincwell.exceptions import DocumentError
 from zincwell.listeners._listener import Listener, reply
+from zincwell.models import Answer
+
+OPEN_PATHS = frozenset({"/live", "/ready"})
+BAD_REQUEST = 400
+UNAUTHORIZED = 401
+CONFLICT = 409
+UNAVAILABLE = 503
+BEARER = "Bearer "
+
+
+class ConfigReply(Struct, frozen=True, kw_only=True):
+    """The configuration in force; version -1 if there is none."""
+
+    version: int
+    document: dict[str, Any]
+
+
+class CheckReply(Struct, frozen=True, kw_only=True):
+    """What a document would change.
+
+    :param error: why it is not valid, naming the field; empty if it is.
+    :param patch: merge patch from the document in force.
+    """
+
+    version: int
+    error: str = ""
+    patch: dict[str, Any] = {}
+
+
+class PublishReply(Struct, frozen=True, kw_only=True):
+    """Verdict on a proposal.
+
+    :param version: version in force now.
+    :param since: changes accepted after the proposal's base, if it lost a race.
+    """
+
+    accepted: bool
+    version: int
+    reason: str = ""
+    since: list[Verdict] = []
 
 
 class OperatorsListener(Listener):
-    """Serves operators."""
+    """Serves operators; every call but health needs the bearer token, if one is set."""
 
     name = "operators"
 
     def _add_routes(self) -> None:
-        self.app.add_route(self._live, "/live", methods=["GET"])
-        self.app.add_route(self._ready, "/ready", methods=["GET"])
-        self.app.add_route(self._metrics, "/metrics", methods=["GET"])
-        self.app.add_route(self._status, "/status", methods=["GET"])
+        add = self.app.add_route
+        add(self._live, "/live", methods=["GET"])
+        add(self._ready, "/ready", methods=["GET"])
+        add(self._metrics, "/metrics", methods=["GET"])
+        add(self._status, "/status", methods=["GET"])
+        add(self._show_config, "/v1/config", methods=["GET"])
+        add(self._check_config, "/v1/config/check", methods=["POST"])
+        add(self._publish_config, "/v1/config", methods=["POST"])
+        add(self._drain, "/v1/drain", methods=["POST"])
+        self.app.on_request(self._check_token)
+
+    async def _check_token(self, request: Request) -> HTTPResponse | None:
+        token = self.entry.operator_token
+        if not token or request.path in OPEN_PATHS:
+            return None
+        given = request.headers.get("authorization", "")
+        if hmac.compare_digest(given.encode(), (BEARER + token).encode()):
+            return None
+        answer = Answer(reason="wrong_token", detail="a valid bearer token is needed")
+        return reply(answer, status=UNAUTHORIZED)
 
     async def _live(self, _: Request) -> HTTPResponse:
         return reply({"live": True})
 
     async def _ready(self, _: Request) -> HTTPResponse:
         ready = self.entry.is_ready()
-        return reply({"ready": ready}, status=200 if ready else 503)
+        body = {"ready": ready, "draining": self.entry.is_draining}
+        return reply(body, status=200 if ready else UNAVAILABLE)
 
     async def _metrics(self, _: Request) -> HTTPResponse:
         return reply(self.entry.metrics.snapshot())
 
     async def _status(self, _: Request) -> HTTPResponse:
         return reply(self.entry.status())
+
+    async def _show_config(self, _: Request) -> HTTPResponse:
+        configuration = self.entry.configuration
+        return reply(ConfigReply(version=configuration.version, document=configuration.value))
+
+    async def _check_config(self, request: Request) -> HTTPResponse:
+        """Check a document and show what it would change, publishing nothing."""
+        configuration = self.entry.configuration
+        try:
+            document = msgspec.json.decode(request.body, type=dict[str, Any])
+            parse_document(document)
+        except (msgspec.MsgspecError, DocumentError) as error:
+            body = CheckReply(version=configuration.version, error=str(error))
+            return reply(body, status=BAD_REQUEST)
+        patch = make_patch(configuration.value, document)
+        return reply(CheckReply(version=configuration.version, patch=patch))
+
+    async def _publish_config(self, request: Request) -> HTTPResponse:
+        try:
+            proposal = msgspec.json.decode(request.body, type=Proposal)
+        except msgspec.MsgspecError as error:
+            return reply(Answer(reason="bad_request", detail=str(error)), status=BAD_REQUEST)
+        result = await self.entry.publisher.publish(proposal)
+        if isinstance(result, Err):
+            failure = result.err_value
+            status = UNAVAILABLE if failure.is_open else BAD_REQUEST
+            return reply(Answer(reason=failure.reason, detail=failure.detail), status=status)
+        return self._tell_verdict(proposal, result.ok_value)
+
+    def _tell_verdict(self, proposal: Proposal, verdict: Verdict) -> HTTPResponse:
+        configuration = self.entry.configuration
+        since = [] if verdict.accepted else configuration.changes_since(proposal.base)
+        body = PublishReply(
+            accepted=verdict.accepted,
+            version=configuration.version,
+            reason=verdict.reason,
+            since=since,
+        )
+        return reply(body, status=200 if verdict.accepted else CONFLICT)
+
+    async def _drain(self, _: Request) -> HTTPResponse:
+        """Begin to drain; the process ends once nothing is in flight."""
+        self.entry.ask_to_drain()
+        return reply({"draining": True}, status=202)
--- a/zincwell/settings.py
+++ b/zincwell/settings.py
@@ -66,7 +66,7 @@
     :param resubmission_window_s: how long keys and answers are remembered.
     :param clock_margin_s: largest difference assumed between the clocks of two VMs.
     :param drain_notice_s: time between readiness going off and the listener closing.
-    :param seat_snapshot_s: period after which the seats are written to the log as a whole.
+    :param snapshot_s: longest time between two snapshots on the log; under half its retention.
     """
 
     seat_lease_s: Seconds = 1.0
@@ -81,7 +81,7 @@
     resubmission_window_s: Seconds = 600.0
     clock_margin_s: Seconds = 0.5
     drain_notice_s: Seconds = 2.0
-    seat_snapshot_s: Seconds = 600.0
+    snapshot_s: Seconds = 600.0
 
 
 class MemorySettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
