--- a/zincwell/core/_dispatch.py
+++ b/zincwell/core/_dispatch.py
@@ -4,20 +4,24 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
 from zincwell.core._jobs import Job, Task, TaskState, make_answer
-from zincwell.core._ordering import make_queue
+from zincwell.core._ordering import Queue, make_queue
 from zincwell.core._pool import Pool, Shares
+from zincwell.core._quotas import Neighbours, Quotas
 from zincwell.core._runtimes import RunTimes
 from zincwell.core._worker import Worker
 from zincwell.document import Document
+from zincwell.document import Pool as PoolRules
 from zincwell.models import Answer, Outcome
 from zincwell.ports import Clock, EventKind, Vm, WorkerEvent, WorkerTransport
 from zincwell.settings import TimingSettings
 
 MAX_PLACEMENTS = 20
 RETRY_MS = 500
+STOP_PERIOD_S = 0.1
 
 log = logging.getLogger("zincwell.dispatch")
 
@@ -38,6 +42,7 @@
         clock: Clock,
         timing: TimingSettings,
         shares: Shares,
+        neighbours: Callable[[], Neighbours],
         open_worker: Callable[[Vm], WorkerTransport],
         observe: Callable[[Task], None],
         observe_waste: Callable[[str], None],
@@ -45,6 +50,7 @@
         self.document: Document | None = None
         self.pool_by_name: dict[str, Pool] = {}
         self.run_times = RunTimes(default_s=self._declared_run_s)
+        self.quotas = Quotas(limit=self._max_running, neighbours=neighbours)
         self._entry = entry
         self._domain = domain
         self._clock = clock
@@ -54,7 +60,7 @@
         self._observe = observe
         self._observe_waste = observe_waste
         self._lane_by_worker: dict[str, asyncio.Task] = {}
-        self._stops: set[asyncio.Task] = set()
+        self._aside: set[asyncio.Task] = set()
 
     # -- configuration and workers -------------------------------------------------------
 
@@ -93,6 +99,8 @@
     def run(self, job: Job) -> None:
         """Queue a job; its answer comes through ``job.answer``."""
         pool = self.pool_by_name[job.pool]
+        if job.idempotent:
+            pool.retry_budget.note_request(self.document.retries)
         pool.queue.push(job)
         delay_s = max(0.0, job.deadline_at - self._clock.monotonic())
         timer = asyncio.get_running_loop().call_later(delay_s, self.give_up, job, "deadline")
@@ -117,6 +125,24 @@
                 queued[tenant] = queued.get(tenant, 0) + count
         return queued
 
+    async def run_stop_rules(self) -> None:
+        """Stop tasks that run longer than their class allows; until cancelled."""
+        while True:
+            await asyncio.sleep(STOP_PERIOD_S)
+            for pool in self.pool_by_name.values():
+                for worker in list(pool.worker_by_name.values()):
+                    for task in list(worker.placed_by_id.values()):
+                        self._stop_if_too_long(task)
+
+    def _stop_if_too_long(self, task: Task) -> None:
+        rules = self.document.urgencies.get(task.job.urgency)
+        if rules is None or not rules.max_run_ms or not task.started_at:
+            return
+        ran_ms = (self._clock.monotonic() - task.started_at) * 1000
+        if ran_ms > rules.max_run_ms and not task.job.is_answered:
+            log.info("task_stopped", extra={"task": task.id, "ran_ms": round(ran_ms)})
+            self.give_up(task.job, "ran_too_long")
+
     async def close(self) -> None:
         """Release all workers."""
         for lane in self._lane_by_worker.values():
@@ -134,6 +160,7 @@
             task.started = task.started or event.kind is EventKind.ACCEPTED
             task.started_at = task.started_at or self._clock.monotonic()
             return
+        self.quotas.note_end(task.job.tenant)
         if task.state is TaskState.FINAL:
             pool.wake()
             return
@@ -163,12 +190,21 @@
             self._hold_slot(pool, task, worker)
             if pool.judge(worker):
                 log.warning("worker_ejected", extra={"worker": worker.name, "pool": pool.name})
-        if task.job.idempotent and task.job.retries_left > 0 and not task.job.is_answered:
-            task.job.retries_left -= 1
-            self._observe_waste("retry")
-            self._place_again(pool, task, event.reason)
-            return
-        self._end(task, Outcome.FAILED, event.reason)
+        if not self._retry(pool, task, event.reason):
+            self._end(task, Outcome.FAILED, event.reason)
+
+    def _retry(self, pool: Pool, task: Task, reason: str) -> bool:
+        """Start an idempotent request again if its count and the budget allow it."""
+        job = task.job
+        if not job.idempotent or job.retries_left <= 0 or job.is_answered:
+            return False
+        if not pool.retry_budget.take():
+            self._observe_waste("retry_denied")
+            return False
+        job.retries_left -= 1
+        self._observe_waste("retry")
+        self._place_again(pool, task, reason)
+        return True
 
     def _hold_slot(self, pool: Pool, task: Task, worker: Worker) -> None:
         """Keep the slot of a fast failure for as long as a run usually takes.
@@ -201,6 +237,7 @@
     def _on_unsent(self, tasks: list[Task], reason: str) -> None:
         for task in tasks:
             pool = self.pool_by_name[task.job.pool]
+            self.quotas.note_end(task.job.tenant)
             if task.state is not TaskState.FINAL:
                 self._place_again(pool, task, reason)
             pool.wake()
@@ -208,8 +245,11 @@
     def _on_lost(self, tasks: list[Task]) -> None:
         for task in tasks:
             log.warning("task_lost", extra={"task": task.id, "worker": task.worker})
-            if task.state is not TaskState.FINAL:
-                self._end(task, Outcome.OUTCOME_UNKNOWN, "worker_lost")
+            pool = self.pool_by_name[task.job.pool]
+            self.quotas.note_end(task.job.tenant)
+            if task.state is TaskState.FINAL or self._retry(pool, task, "worker_lost"):
+                continue
+            self._end(task, Outcome.OUTCOME_UNKNOWN, "worker_lost")
 
     # -- answers -------------------------------------------------------------------------
 
@@ -249,36 +289,44 @@
         for name, tasks in placed_by_worker.items():
             worker = pool.worker_by_name.get(name)
             if worker is not None:
-                stop = asyncio.create_task(worker.stop(tasks))
-                self._stops.add(stop)
-                stop.add_done_callback(self._stops.discard)
+                self._run_aside(worker.stop(tasks))
+
+    def _run_aside(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(coroutine)
+        self._aside.add(task)
+        task.add_done_callback(self._aside.discard)
 
     # -- making pools and workers --------------------------------------------------------
 
     def _make_pool(self, name: str, document: Document) -> Pool:
         rules = document.pools[name]
-        queue = make_queue(rules.ordering, weight=self._weight, run_s=self.run_times.expected_s)
+        queue = self._make_queue(rules)
         return Pool(
             name=name,
             rules=rules,
             queue=queue,
             shares=self._shares,
+            quotas=self.quotas,
             clock=self._clock,
             seed=f"{self._entry}/{name}",
         )
 
-    def _change_rules(self, pool: Pool, rules) -> None:
+    def _change_rules(self, pool: Pool, rules: PoolRules) -> None:
         if rules.ordering is not pool.rules.ordering:
-            queue = make_queue(rules.ordering, weight=self._weight, run_s=self.run_times.expected_s)
-            waiting = {}
-            while (task := pool.queue.pop()) is not None:
-                waiting.setdefault(task.job.key, []).append(task)
-            for tasks in waiting.values():
-                tasks[0].job.waiting.extend(tasks)
-                queue.push(tasks[0].job)
+            queue = self._make_queue(rules)
+            for job in pool.queue.jobs():
+                queue.push(job)
             pool.queue = queue
         pool.rules = rules
 
+    def _make_queue(self, rules: PoolRules) -> Queue:
+        return make_queue(
+            rules.ordering,
+            weight=self._weight,
+            run_s=self.run_times.expected_s,
+            may_start=self.quotas.may_start,
+        )
+
     def _add_worker(self, pool: Pool, vm: Vm) -> None:
         worker = Worker(
             vm=vm,
@@ -297,10 +345,15 @@
 
     def _drop_worker(self, pool: Pool, name: str) -> None:
         """Give a worker nothing new; streams of what runs there go on to their end."""
-        pool.worker_by_name.pop(name)
+        worker = pool.worker_by_name.pop(name)
         self._lane_by_worker.pop(name).cancel()
+        self._run_aside(worker.retire())
         log.info("worker_dropped", extra={"worker": name, "pool": pool.name})
 
+    def _max_running(self, tenant: str) -> int:
+        rules = self.document.tenants.get(tenant)
+        return rules.max_running if rules is not None else 0
+
     def _weight(self, tenant: str, urgency: str) -> float:
         weight = 1.0
         if tenant in self.document.tenants:
--- a/zincwell/core/_jobs.py
+++ b/zincwell/core/_jobs.py
@@ -174,12 +174,22 @@
         self.serial_by_key: dict[str, int] = {}
         self._kept_by_key: OrderedDict[str, _Kept] = OrderedDict()
         self._kept_bytes = 0
+        self._closed_by_key: dict[str, tuple[int, float]] = {}
 
     def add(self, job: Job, *, serial: int) -> None:
         """Take a job in."""
         self.jobs_by_key[job.key] = job
         self.serial_by_key[job.key] = serial
 
+    def close_serial(self, key: str, serial: int) -> None:
+        """Note that we never start a key under a grant up to this one."""
+        serial = max(serial, self.closed_serial(key))
+        self._closed_by_key[key] = (serial, self._clock.wall())
+
+    def closed_serial(self, key: str) -> int:
+        """Return the latest grant of a key under which we never start it."""
+        return self._closed_by_key.get(key, (0, 0.0))[0]
+
     def keep(self, job: Job) -> None:
         """Keep a finished job's answer, and drop the oldest outputs beyond the bound."""
         answer = job.answer.result()
@@ -201,6 +211,8 @@
             for key, job in self.jobs_by_key.items()
             if job.created_at < oldest and job.is_answered
         ]
+        for key in [key for key, (_, at) in self._closed_by_key.items() if at < oldest]:
+            del self._closed_by_key[key]
         for key in old:
             del self.jobs_by_key[key]
             del self.serial_by_key[key]
--- a/zincwell/core/_ordering.py
+++ b/zincwell/core/_ordering.py
@@ -19,9 +19,12 @@
 
     Holds jobs, not tasks: a job of 1,200 tasks is one item, and cancelling it empties its
     own list of waiting tasks, after which the item is skipped when its turn comes.
+
+    :param may_start: returns whether a tenant's quota lets one more of its tasks start.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, may_start: Callable[[str], bool]) -> None:
+        self._may_start = may_start
         self.size = 0
         self.size_by_tenant: dict[str, int] = {}
 
@@ -38,10 +41,10 @@
             self._insert(task.job)
 
     def pop(self) -> Task | None:
-        """Take the next task to start, or None if none waits."""
-        if self.size == 0:
-            return None
+        """Take the next task to start, or None if none waits that may start."""
         job = self._next_job()
+        if job is None:
+            return None
         self._count(job, -1)
         task = job.waiting.popleft()
         self._taken(job)
@@ -62,12 +65,16 @@
         else:
             self.size_by_tenant.pop(job.tenant, None)
 
+    @abc.abstractmethod
+    def jobs(self) -> list[Job]:
+        """Return the jobs that have waiting tasks, in no particular order."""
+
     @abc.abstractmethod
     def _insert(self, job: Job) -> None:
         """Add a job that has waiting tasks."""
 
     @abc.abstractmethod
-    def _next_job(self) -> Job:
+    def _next_job(self) -> Job | None:
         """Return the job whose task goes next, leaving it where it is."""
 
     def _taken(self, job: Job) -> None:
@@ -78,17 +85,22 @@
 class FifoQueue(Queue):
     """First come, first served."""
 
-    def __init__(self) -> None:
-        super().__init__()
+    def __init__(self, *, may_start: Callable[[str], bool]) -> None:
+        super().__init__(may_start=may_start)
         self._jobs: deque[Job] = deque()
 
+    def jobs(self) -> list[Job]:
+        """Return the jobs that have waiting tasks."""
+        return [job for job in dict.fromkeys(self._jobs) if job.waiting]
+
     def _insert(self, job: Job) -> None:
         self._jobs.append(job)
 
-    def _next_job(self) -> Job:
-        while not self._jobs[0].waiting:
+    def _next_job(self) -> Job | None:
+        while self._jobs and not self._jobs[0].waiting:
             self._jobs.popleft()
-        return self._jobs[0]
+        ready = (job for job in self._jobs if job.waiting and self._may_start(job.tenant))
+        return next(ready, None)
 
 
 class _TenantQueue:
@@ -121,14 +133,21 @@
         *,
         weight: Callable[[str, str], float],
         run_s: Callable[[str], float],
+        may_start: Callable[[str], bool],
     ):
-        super().__init__()
+        super().__init__(may_start=may_start)
         self._weight = weight
         self._run_s = run_s
         self._queue_by_owner: dict[tuple[str, str], _TenantQueue] = {}
         self._floor = 0.0
         self._order = itertools.count()
 
+    def jobs(self) -> list[Job]:
+        """Return the jobs that have waiting tasks."""
+        queues = self._queue_by_owner.values()
+        jobs = (job for queue in queues for _, _, job in queue.heap)
+        return [job for job in dict.fromkeys(jobs) if job.waiting]
+
     def _insert(self, job: Job) -> None:
         owner = (job.tenant, job.urgency)
         queue = self._queue_by_owner.get(owner)
@@ -138,8 +157,14 @@
             queue.served = max(queue.served, self._floor)
         heapq.heappush(queue.heap, (self._rank(job), next(self._order), job))
 
-    def _next_job(self) -> Job:
-        active = [queue for queue in self._queue_by_owner.values() if queue.prune()]
+    def _next_job(self) -> Job | None:
+        active = [
+            queue
+            for (tenant, _), queue in self._queue_by_owner.items()
+            if queue.prune() and self._may_start(tenant)
+        ]
+        if not active:
+            return None
         chosen = min(active, key=lambda queue: queue.served)
         self._floor = chosen.served
         return chosen.heap[0][2]
@@ -180,10 +205,11 @@
     *,
     weight: Callable[[str, str], float],
     run_s: Callable[[str], float],
+    may_start: Callable[[str], bool],
 ) -> Queue:
     """Make the queue that a pool's ordering asks for."""
     if ordering is Ordering.FIFO:
-        return FifoQueue()
+        return FifoQueue(may_start=may_start)
     if ordering is Ordering.FAIR_DEADLINE:
-        return FairDeadlineQueue(weight=weight, run_s=run_s)
-    return FairLeastWorkQueue(weight=weight, run_s=run_s)
+        return FairDeadlineQueue(weight=weight, run_s=run_s, may_start=may_start)
+    return FairLeastWorkQueue(weight=weight, run_s=run_s, may_start=may_start)
--- a/zincwell/core/_pool.py
+++ b/zincwell/core/_pool.py
@@ -11,6 +11,8 @@
 from zincwell.core._health import may_eject_more, should_eject
 from zincwell.core._jobs import Task
 from zincwell.core._ordering import Queue
+from zincwell.core._quotas import Quotas
+from zincwell.core._retries import RetryBudget
 from zincwell.core._worker import Worker
 from zincwell.document import Pool as PoolRules
 from zincwell.ports import Clock
@@ -33,6 +35,15 @@
         self._index = index
         self._contended = contended
 
+    def connections(self, worker: Worker) -> int:
+        """Return how many streams this entry may have open to a worker.
+
+        A worker takes a fixed number of connections over all entries; half of our part is
+        left to leases, stops and watches.
+        """
+        _, count = self._index()
+        return max(1, worker.vm.connections // count // 2)
+
     def allowed(self, *, worker: Worker, place: int, pool: str) -> int:
         """Return how many slots of a worker this entry may use now."""
         if not self._contended(pool):
@@ -53,9 +64,12 @@
         rules: PoolRules,
         queue: Queue,
         shares: Shares,
+        quotas: Quotas,
         clock: Clock,
         seed: str,
     ):
+        self.quotas = quotas
+        self.retry_budget = RetryBudget()
         self.name = name
         self.rules = rules
         self.queue = queue
@@ -108,9 +122,12 @@
         self._pump_is_due = False
         rooms = self._rooms()
         batch_by_worker: dict[str, list[Task]] = {}
-        while rooms and self.queue.size:
-            worker = self._choose(rooms)
+        while rooms:
             task = self.queue.pop()
+            if task is None:
+                break
+            worker = self._choose(rooms)
+            self.quotas.note_start(task.job.tenant)
             self._delays.append(self._clock.monotonic() - task.queued_at)
             batch_by_worker.setdefault(worker.name, []).append(task)
             rooms[worker] -= 1
@@ -124,6 +141,8 @@
         rooms = {}
         places = itertools.count()
         for worker in self.usable_workers():
+            if worker.open_streams >= self._shares.connections(worker):
+                continue
             allowed = self._shares.allowed(worker=worker, place=next(places), pool=self.name)
             allowed = min(allowed, worker.health.concurrency(worker.slots))
             room = allowed - len(worker.placed_by_id) - worker.held
--- a/zincwell/core/_seat.py
+++ b/zincwell/core/_seat.py
@@ -137,40 +137,36 @@
         """
         self.leaving = True
         if self.is_open:
-            await self._append_close(self.seat)
+            await self._append(self._closing_of(self.seat))
 
-    async def _step(self) -> None:
+    def due_records(self) -> list[OpenSeat | CloseSeat]:
+        """Return what has to be appended now: our own seat, or the end of a silent peer's.
+
+        A peer whose end is decided is not acknowledged from here on.
+        """
         if not self.has_log():
-            return
-        if not self.is_open and not self.leaving:
+            return []
+        if not self.is_open:
             self._joined = False
-            await self._append(
-                OpenSeat(
-                    vm=self.seat.vm,
-                    incarnation=self.seat.incarnation,
-                    domain=self.seat.domain,
-                    url=self.seat.url,
-                )
-            )
-            log.info("seat_opened", extra={"seat": self.seat.id})
-            return
-        for seat in self.others():
-            if self._is_silent(seat):
-                await self._close_peer(seat)
+            return [] if self.leaving else [_opening(self.seat)]
+        silent = [seat for seat in self.others() if self._is_silent(seat)]
+        for seat in silent:
+            if seat.id not in self._closing:
+                self._closing.add(seat.id)
+                log.warning("peer_silent", extra={"seat": seat.id})
+        return [self._closing_of(seat) for seat in silent]
+
+    async def _step(self) -> None:
+        for record in self.due_records():
+            await self._append(record)
+            log.info("seat_record", extra={"record": record})
 
     def _is_silent(self, seat: Seat) -> bool:
         silent_s = self._clock.monotonic() - self._contact(seat).heard_at
         return silent_s > self._timing.peer_silence_s
 
-    async def _close_peer(self, seat: Seat) -> None:
-        if seat.id not in self._closing:
-            self._closing.add(seat.id)
-            log.warning("peer_silent", extra={"seat": seat.id})
-        await self._append_close(seat)
-
-    async def _append_close(self, seat: Seat) -> None:
-        await self._append(CloseSeat(vm=seat.vm, incarnation=seat.incarnation, by=self.seat.id))
-        log.info("seat_closed", extra={"seat": seat.id, "by": self.seat.id})
+    def _closing_of(self, seat: Seat) -> CloseSeat:
+        return CloseSeat(vm=seat.vm, incarnation=seat.incarnation, by=self.seat.id)
 
     async def _append(self, record: OpenSeat | CloseSeat) -> None:
         """Append and wait for the fold to reach the record, so that no step goes twice."""
@@ -198,3 +194,7 @@
             contact = PeerContact(seat.incarnation, heard_at=self._clock.monotonic())
             self.contact_by_vm[seat.vm] = contact
         return contact
+
+
+def _opening(seat: Seat) -> OpenSeat:
+    return OpenSeat(vm=seat.vm, incarnation=seat.incarnation, domain=seat.domain, url=seat.url)
--- a/zincwell/core/_submissions.py
+++ b/zincwell/core/_submissions.py
@@ -70,7 +70,6 @@
         self._timing = timing
         self._observe_refusal = observe_refusal
         self._claiming_by_key: dict[str, asyncio.Future[Result[Job | ClaimReply, Answer]]] = {}
-        self._closed_serial_by_key: dict[str, int] = {}
 
     # -- callers -------------------------------------------------------------------------
 
@@ -171,8 +170,7 @@
         if job is None:
             # Said for good: from now on we refuse to start the key under this grant, so the
             # home may give it to another.
-            known = self._closed_serial_by_key.get(call.key, 0)
-            self._closed_serial_by_key[call.key] = max(known, call.serial)
+            self._book.close_serial(call.key, call.serial)
             return AttachReply(kind=AttachKind.NEVER_STARTED)
         if call.digest not in (0, job.digest):
             return AttachReply(kind=AttachKind.REUSED)
@@ -227,7 +225,7 @@
             created_at=submission.created_at,
             attempt=submission.attempt or 0,
             intent=Intent.OWN if refused is None else Intent.REFUSE,
-            disown=self._closed_serial_by_key.get(key, 0),
+            disown=self._book.closed_serial(key),
         )
         reply = await self._ownership.acquire(claim)
         if reply.kind is ClaimKind.OWNED and reply.owner.id != self._seat.id:
@@ -236,7 +234,7 @@
             return Err(refused)
         if reply.kind is not ClaimKind.GRANTED:
             return Err(self._explain(submission, reply))
-        if reply.serial <= self._closed_serial_by_key.get(key, 0):
+        if reply.serial <= self._book.closed_serial(key):
             return Err(_unknown(submission.key, "grant_closed", DRAIN_RETRY_MS))
         job = self._make_job(key, submission)
         self._start(job, serial=reply.serial)
@@ -357,7 +355,7 @@
 
     async def _claim_disowned(self, key: str, serial: int, submission: Submission) -> Answer:
         """Become owner of a key whose owner said that it never started it."""
-        self._closed_serial_by_key[key] = max(serial, self._closed_serial_by_key.get(key, 0))
+        self._book.close_serial(key, serial)
         return await self.submit(submission)
 
     def _owner_lost(self, key: str, owner: Seat) -> Answer:
--- a/zincwell/core/_worker.py
+++ b/zincwell/core/_worker.py
@@ -82,6 +82,11 @@
             return False
         return self._lease is not None and self._clock.monotonic() < self._lease_until
 
+    @property
+    def open_streams(self) -> int:
+        """Number of streams open to it."""
+        return len(self._streams)
+
     @property
     def answers(self) -> bool:
         """Whether it has granted a lease that still holds."""
@@ -113,8 +118,14 @@
         except WorkerError as error:
             log.info("stop_lost", extra={"worker": self.name, "error": error})
 
+    async def retire(self) -> None:
+        """Release the connections once what runs there has come to its end."""
+        while self._streams:
+            await asyncio.wait(list(self._streams))
+        await self._transport.close()
+
     async def close(self) -> None:
-        """Release the connections."""
+        """Release the connections at once."""
         for stream in self._streams:
             stream.cancel()
         await self._transport.close()
--- a/zincwell/document.py
+++ b/zincwell/document.py
@@ -23,6 +23,19 @@
     FAIR_LEAST_WORK = "fair_least_work"
 
 
+class Admission(enum.StrEnum):
+    """How queueing delay is limited at arrival.
+
+    ``bounded`` takes in all up to a bound on queued tasks; ``feasible`` takes in what can
+    start before its limit; ``controlled`` holds the delay at the target by refusing the least
+    valuable of what comes.
+    """
+
+    BOUNDED = "bounded"
+    FEASIBLE = "feasible"
+    CONTROLLED = "controlled"
+
+
 class Service(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """What callers name in a job.
 
@@ -38,6 +51,7 @@
     """Workers that serve the same services.
 
     :param ordering: the order in which queued tasks are started.
+    :param admission: how queueing delay is limited at arrival.
     :param queue_target_ms: queueing delay that admission holds, in milliseconds.
     :param eject_share: largest share of the pool that may be ejected as unhealthy.
     :param guards: whether unhealthy workers are ejected at all.
@@ -45,6 +59,7 @@
     """
 
     ordering: Ordering = Ordering.FAIR_LEAST_WORK
+    admission: Admission = Admission.FEASIBLE
     queue_target_ms: Annotated[int, Meta(ge=1)] = 2_000
     eject_share: Share = 0.34
     guards: bool = True
@@ -69,10 +84,12 @@
 
     :param weight: share against other classes of the same tenant.
     :param max_queue_ms: longest queueing delay accepted at arrival; 0 for the pool's target.
+    :param max_run_ms: a task that runs longer is stopped and fails its job; 0 for no limit.
     """
 
     weight: Annotated[float, Meta(gt=0, le=1_000)] = 1.0
     max_queue_ms: Annotated[int, Meta(ge=0)] = 0
+    max_run_ms: Annotated[int, Meta(ge=0)] = 0
 
 
 class Retries(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -90,6 +107,7 @@
     """The whole configuration, with the version of its format.
 
     :param domains: failure domains that keys without a prefix are spread over.
+    :param open_tenants: whether tenants that are not listed are served too, at weight 1.
     """
 
     format: Annotated[int, Meta(ge=1, le=FORMAT)] = FORMAT
--- a/zincwell/entry.py
+++ b/zincwell/entry.py
@@ -30,6 +30,7 @@
 from zincwell.core._peers import Heartbeats, Peers
 from zincwell.core._pool import Shares
 from zincwell.core._publishing import Publisher
+from zincwell.core._quotas import Neighbours
 from zincwell.core._seat import SeatKeeper
 from zincwell.core._snapshots import SnapshotWriter
 from zincwell.core._submissions import Submissions
@@ -137,6 +138,7 @@
                 self.heartbeats.run(),
                 self.watcher.run(),
                 self.snapshots.run(),
+                self.dispatcher.run_stop_rules(),
                 self._recover_keys(),
                 self._forget(),
             )
@@ -203,6 +205,7 @@
         return Load(
             queued_by_pool=queued_by_pool,
             running_by_worker=running_by_worker,
+            running_by_tenant=dict(self.dispatcher.quotas.running_by_tenant),
             queued_by_tenant=self.dispatcher.queued_by_tenant(),
         )
 
@@ -305,6 +308,7 @@
             clock=clock,
             timing=timing,
             shares=Shares(index=self._share_index, contended=self._is_contended),
+            neighbours=self._neighbours,
             open_worker=self._open_worker,
             observe=self._observe_task,
             observe_waste=lambda kind: self.metrics.count("wasted", kind=kind),
@@ -339,7 +343,8 @@
         admission = Admission(
             memory=settings.memory,
             run_times=self.dispatcher.run_times,
-            own_load=self.load,
+            clock=clock,
+            queued_by_tenant=self.dispatcher.queued_by_tenant,
             peer_loads=lambda: list(self.heartbeats.load_by_vm.values()),
         )
         self.book = JobBook(clock=clock, timing=timing, memory=settings.memory)
@@ -384,6 +389,16 @@
         names = sorted({seat.vm for seat in self.keeper.others()} | {self.seat.vm})
         return names.index(self.seat.vm), len(names)
 
+    def _neighbours(self) -> Neighbours:
+        others = self.keeper.others()
+        heard = (self.heartbeats.load_by_vm.get(seat.vm) for seat in others)
+        domains = {seat.domain for seat in self.membership.seats_by_vm.values()}
+        return Neighbours(
+            domains=len(domains | {self.settings.domain}),
+            peers=len(others),
+            loads=[load for load in heard if load is not None],
+        )
+
     def _is_contended(self, pool: str) -> bool:
         loads = (self.heartbeats.load_by_vm.get(seat.vm) for seat in self.keeper.others())
         return any(load.queued_by_pool.get(pool, 0) > 0 for load in loads if load is not None)
