--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,6 @@
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -c constraints.txt -e '.[dev]'
 	touch $@
+
+bench: $(VENV)/.stamp
+	$(BIN)/python -m bench run
--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,63 @@
+"""Run scenarios: ``python -m bench run steady-50 burst`` or ``python -m bench run``."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import fire
+
+from bench.driver import Report, Size, run_scenario, write_report
+from bench.scenarios import SCENARIOS
+
+OUT = Path(__file__).parent / "out"
+HEADER = (
+    f"{'scenario':<14} {'system':<9} {'jobs':>5} {'tasks':>6} {'p50':>6} {'p99':>7} "
+    f"{'max':>7} {'wasted':>7} {'refused':>7} {'double':>6} {'false':>5} {'cpu ms':>6}  outcomes"
+)
+
+
+class Commands:
+    """Measure zincwell against a baseline."""
+
+    def names(self) -> None:
+        """Print the names of all scenarios."""
+        print("\n".join(SCENARIOS))
+
+    def run(self, *names: str, seed: int = 1, baseline: bool = True, out: str = "") -> None:
+        """Run scenarios, all unless some are named, each with the baseline in the same run.
+
+        Args:
+            names: scenarios to run.
+            seed: of arrivals and run times.
+            baseline: whether to run the baseline too.
+            out: folder for the results.
+        """
+        folder = Path(out) if out else OUT
+        print(HEADER, flush=True)
+        for name in names or SCENARIOS:
+            for is_baseline in (False, True) if baseline else (False,):
+                scenario = SCENARIOS[name]
+                if is_baseline and name in ("entry-killed", "log-down", "domain-cut"):
+                    continue
+                report = asyncio.run(
+                    run_scenario(scenario, size=Size(), seed=seed, baseline=is_baseline)
+                )
+                write_report(report, folder)
+                print(_row(report), flush=True)
+
+
+def _row(report: Report) -> str:
+    ratio = report.ratio.get("all", {"p50": 0, "p99": 0, "max": 0})
+    outcomes = " ".join(f"{name}={count}" for name, count in sorted(report.outcomes.items()))
+    return (
+        f"{report.scenario:<14} {report.system:<9} {report.jobs:>5} {report.tasks:>6} "
+        f"{ratio['p50']:>6.2f} {ratio['p99']:>7.2f} {ratio['max']:>7.2f} "
+        f"{report.wasted_per_task:>7.4f} {report.refused_attempts:>7} "
+        f"{report.double_starts:>6} {report.false_not_run:>5} "
+        f"{report.cpu_ms_per_task:>6.2f}  {outcomes}"
+    )
+
+
+if __name__ == "__main__":
+    fire.Fire(Commands)
--- a/zincwell/core/_dispatch.py
+++ b/zincwell/core/_dispatch.py
@@ -9,9 +9,10 @@
 
 from zincwell.core._jobs import Job, Task, TaskState, make_answer
 from zincwell.core._ordering import Queue, make_queue
-from zincwell.core._pool import Pool, Shares
+from zincwell.core._pool import Pool
 from zincwell.core._quotas import Neighbours, Quotas
 from zincwell.core._runtimes import RunTimes
+from zincwell.core._shares import Shares
 from zincwell.core._worker import Worker
 from zincwell.document import Document
 from zincwell.document import Pool as PoolRules
@@ -19,7 +20,6 @@
 from zincwell.ports import Clock, EventKind, Vm, WorkerEvent, WorkerTransport
 from zincwell.settings import TimingSettings
 
-MAX_PLACEMENTS = 20
 RETRY_MS = 500
 STOP_PERIOD_S = 0.1
 
@@ -30,6 +30,7 @@
     """Queues jobs, places their tasks and answers them.
 
     :param open_worker: makes the transport to a worker.
+    :param on_starved: called when tasks wait for which there is no room.
     :param observe: called with each final task, for metrics.
     :param observe_waste: called with the kind of each wasted message.
     """
@@ -44,6 +45,7 @@
         shares: Shares,
         neighbours: Callable[[], Neighbours],
         open_worker: Callable[[Vm], WorkerTransport],
+        on_starved: Callable[[], None],
         observe: Callable[[Task], None],
         observe_waste: Callable[[str], None],
     ):
@@ -56,6 +58,7 @@
         self._clock = clock
         self._timing = timing
         self._shares = shares
+        self._on_starved = on_starved
         self._open_worker = open_worker
         self._observe = observe
         self._observe_waste = observe_waste
@@ -117,6 +120,21 @@
         self._stop_placed(pool, job)
         self._answer(job, make_answer(job, reason=reason, retry_after_ms=retry_after_ms))
 
+    def wake(self) -> None:
+        """Place what can be placed."""
+        for pool in self.pool_by_name.values():
+            pool.wake()
+
+    def workers(self) -> list[Worker]:
+        """Return all workers."""
+        pools = self.pool_by_name.values()
+        return [worker for pool in pools for worker in pool.worker_by_name.values()]
+
+    def has_demand(self, pool: str) -> bool:
+        """Tell whether tasks are queued in a pool."""
+        known = self.pool_by_name.get(pool)
+        return known is not None and known.queue.size > 0
+
     def queued_by_tenant(self) -> dict[str, int]:
         """Return the number of queued tasks by tenant."""
         queued: dict[str, int] = {}
@@ -228,7 +246,7 @@
         """Queue a task again that has provably not run."""
         task.started = False
         task.started_at = 0.0
-        if task.job.is_answered or task.placement >= MAX_PLACEMENTS:
+        if task.job.is_answered:
             self._end(task, Outcome.NOT_RUN, reason or "no_worker")
             return
         task.state = TaskState.QUEUED
@@ -309,6 +327,7 @@
             quotas=self.quotas,
             clock=self._clock,
             seed=f"{self._entry}/{name}",
+            on_starved=self._on_starved,
         )
 
     def _change_rules(self, pool: Pool, rules: PoolRules) -> None:
--- a/zincwell/core/_messages.py
+++ b/zincwell/core/_messages.py
@@ -26,12 +26,30 @@
     queued_by_tenant: dict[str, int] = {}
 
 
-class Heartbeat(Struct, frozen=True, kw_only=True):
+class Lending(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Slots that an entry lends its domain peers, split evenly among them.
+
+    :param number: grows with each change.
+    :param per_worker_by_pool: slots lent of each worker of a pool.
+    :param less_by_worker: slots of those that the lender uses itself; named only where it does.
+    :param borrowers: names of the peers, sorted.
+    """
+
+    number: int = 0
+    per_worker_by_pool: dict[str, int] = {}
+    less_by_worker: dict[str, int] = {}
+    borrowers: list[str] = []
+
+
+class Heartbeat(Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Sent to each peer of the domain, and answered by the same.
 
     :param epoch: next offset of the sender's fold of the seats.
     :param config: next offset of its fold of the configuration.
     :param ack: in an answer: the receiver has not closed the sender's seat and is not about to.
+    :param lending: in a call: what the sender lends the receiver.
+    :param lending_seen: in an answer: number of the lending that the receiver goes by.
+    :param used_by_worker: in an answer: slots borrowed from the sender that are in use.
     """
 
     seat: Seat
@@ -39,6 +57,9 @@
     config: int
     load: Load = Load()
     ack: bool = False
+    lending: Lending = Lending()
+    lending_seen: int = 0
+    used_by_worker: dict[str, int] = {}
 
 
 class StateReply(Struct, frozen=True, kw_only=True):
--- a/zincwell/core/_peers.py
+++ b/zincwell/core/_peers.py
@@ -11,16 +11,19 @@
 from msgspec import Struct
 
 from zincwell.core._configuration import Configuration
+from zincwell.core._dispatch import Dispatcher
 from zincwell.core._membership import Membership, Seat
 from zincwell.core._messages import (
     Claim,
     ClaimBatch,
     ClaimReply,
     Heartbeat,
+    Lending,
     Load,
     StateReply,
 )
 from zincwell.core._seat import SeatKeeper
+from zincwell.core._shares import NO_LENDING, Shares
 from zincwell.exceptions import PeerUnavailableError
 from zincwell.ports import Clock, PeerTransport
 from zincwell.settings import TimingSettings
@@ -33,12 +36,14 @@
 
 
 class Peers:
-    """The other entries as this one reaches them."""
+    """The other entries as this one reaches them.
 
-    def __init__(self, *, transport: PeerTransport, timing: TimingSettings):
+    :param count: called with the path of each message sent, for metrics.
+    """
+
+    def __init__(self, *, transport: PeerTransport, count: Callable[[str], None]):
         self._transport = transport
-        self._timing = timing
-        self.sent_by_path: dict[str, int] = {}
+        self._count = count
 
     async def call(
         self, *, url: str, path: str, message: Struct, reply: type[Message], timeout_s: float
@@ -47,7 +52,7 @@
 
         :raises PeerUnavailableError: if no sound answer comes in time.
         """
-        self.sent_by_path[path] = self.sent_by_path.get(path, 0) + 1
+        self._count(path)
         body = msgspec.json.encode(message)
         raw = await self._transport.call(url=url, path=path, body=body, timeout_s=timeout_s)
         try:
@@ -126,7 +131,11 @@
         timing: TimingSettings,
         load: Callable[[], Load],
         seeds: Callable[[], list[str]],
+        shares: Shares,
+        dispatcher: Dispatcher,
     ):
+        self._shares = shares
+        self._dispatcher = dispatcher
         self._peers = peers
         self._keeper = keeper
         self._membership = membership
@@ -142,21 +151,32 @@
     async def run(self) -> None:
         """Send heartbeats until cancelled, never more than one at a time to a peer."""
         while True:
-            for url in self._targets():
-                task = self._task_by_url.get(url)
-                if task is None or task.done():
-                    self._task_by_url[url] = asyncio.create_task(self._beat(url))
+            for seat in self._keeper.others():
+                self._send(seat.url, seat.vm)
+            if self._round % STRANGER_EVERY == 0:
+                for url in self._strangers():
+                    self._send(url, "")
             self._round += 1
             await asyncio.sleep(self._timing.heartbeat_s)
 
+    def beat_now(self) -> None:
+        """Send heartbeats to the domain's peers at once, to have lent slots back."""
+        for seat in self._keeper.others():
+            self._send(seat.url, seat.vm)
+
     def receive(self, heartbeat: Heartbeat) -> Heartbeat:
         """Take a peer's heartbeat and make the answer."""
         ack = self._keeper.acknowledges(heartbeat.seat)
         self._note_load(heartbeat)
+        vm = heartbeat.seat.vm
+        if heartbeat.seat.domain == self._keeper.seat.domain:
+            self._shares.take_offer(vm, heartbeat.lending)
+            self._dispatcher.wake()
         if self._is_ahead(heartbeat):
             url = heartbeat.seat.url
             self._task_by_url[url + "#pull"] = asyncio.create_task(self._catch_up(url))
-        return self._heartbeat(ack=ack)
+        used = self._shares.used_of(vm, self._dispatcher.workers())
+        return self._heartbeat(ack=ack, seen=self._shares.seen(vm), used=used)
 
     def state(self) -> StateReply:
         """Return both folds, for a peer that is behind."""
@@ -167,11 +187,14 @@
             configuration=self._configuration.snapshot(),
         )
 
-    def _targets(self) -> list[str]:
-        urls = [seat.url for seat in self._keeper.others()]
-        if self._round % STRANGER_EVERY == 0:
-            urls += self._strangers()
-        return urls
+    def _send(self, url: str, vm: str) -> None:
+        """Send a heartbeat, unless one is on its way already.
+
+        :param vm: name of a peer of our domain; empty for a stranger.
+        """
+        task = self._task_by_url.get(url)
+        if task is None or task.done():
+            self._task_by_url[url] = asyncio.create_task(self._beat(url, vm))
 
     def _strangers(self) -> list[str]:
         """Pick one entry of another domain, or of the VM list while there are no seats."""
@@ -182,13 +205,16 @@
             return []
         return [urls[(self._round // STRANGER_EVERY) % len(urls)]]
 
-    async def _beat(self, url: str) -> None:
+    async def _beat(self, url: str, vm: str) -> None:
+        lending = NO_LENDING
+        if vm:
+            lending = self._shares.offer(vm, self._dispatcher.workers())
         sent_at = self._clock.monotonic()
         try:
             answer = await self._peers.call(
                 url=url,
                 path="/peer/heartbeat",
-                message=self._heartbeat(ack=False),
+                message=self._heartbeat(lending=lending),
                 reply=Heartbeat,
                 timeout_s=2 * self._timing.heartbeat_s,
             )
@@ -198,6 +224,10 @@
             seat=answer.seat, epoch=answer.epoch, sent_at=sent_at, ack=answer.ack
         )
         self._note_load(answer)
+        if vm and self._shares.note_use(
+            vm, seen=answer.lending_seen, used_by_worker=answer.used_by_worker
+        ):
+            self._dispatcher.wake()
         if self._is_ahead(answer):
             await self._catch_up(url)
 
@@ -206,7 +236,7 @@
             state = await self._peers.call(
                 url=url,
                 path="/peer/state",
-                message=self._heartbeat(ack=False),
+                message=self._heartbeat(),
                 reply=StateReply,
                 timeout_s=1.0,
             )
@@ -225,11 +255,21 @@
             or heartbeat.config > self._configuration.next_offset
         )
 
-    def _heartbeat(self, *, ack: bool) -> Heartbeat:
+    def _heartbeat(
+        self,
+        *,
+        ack: bool = False,
+        lending: Lending = NO_LENDING,
+        seen: int = 0,
+        used: dict[str, int] | None = None,
+    ) -> Heartbeat:
         return Heartbeat(
             seat=self._keeper.seat,
             epoch=self._membership.next_offset,
             config=self._configuration.next_offset,
             load=self._load(),
             ack=ack,
+            lending=lending,
+            lending_seen=seen,
+            used_by_worker=used or {},
         )
--- a/zincwell/core/_pool.py
+++ b/zincwell/core/_pool.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import random
 from collections import deque
 from collections.abc import Callable
@@ -13,6 +12,7 @@
 from zincwell.core._ordering import Queue
 from zincwell.core._quotas import Quotas
 from zincwell.core._retries import RetryBudget
+from zincwell.core._shares import Shares
 from zincwell.core._worker import Worker
 from zincwell.document import Pool as PoolRules
 from zincwell.ports import Clock
@@ -20,43 +20,12 @@
 DELAY_WINDOW = 64
 
 
-class Shares:
-    """Splits every worker's slots among the entries of a domain.
-
-    While a peer has tasks queued, each entry keeps to its static part; otherwise it may use
-    all that the others leave. An entry that guesses wrong is refused by the worker, which
-    costs one message and starts nothing.
+class Pool:
+    """Queue and workers of one pool as this entry has them.
 
-    :param index: returns the place of this entry among the entries, and their number.
-    :param contended: returns whether a peer has tasks queued for the pool.
+    :param on_starved: called when tasks wait for which there is no room.
     """
 
-    def __init__(self, *, index: Callable[[], tuple[int, int]], contended: Callable[[str], bool]):
-        self._index = index
-        self._contended = contended
-
-    def connections(self, worker: Worker) -> int:
-        """Return how many streams this entry may have open to a worker.
-
-        A worker takes a fixed number of connections over all entries; half of our part is
-        left to leases, stops and watches.
-        """
-        _, count = self._index()
-        return max(1, worker.vm.connections // count // 2)
-
-    def allowed(self, *, worker: Worker, place: int, pool: str) -> int:
-        """Return how many slots of a worker this entry may use now."""
-        if not self._contended(pool):
-            return worker.slots - worker.others_running
-        index, count = self._index()
-        # Rotated by worker, so that a remainder doesn't always go to the same entry.
-        index = (index + place) % count
-        return worker.slots * (index + 1) // count - worker.slots * index // count
-
-
-class Pool:
-    """Queue and workers of one pool as this entry has them."""
-
     def __init__(
         self,
         *,
@@ -67,7 +36,9 @@
         quotas: Quotas,
         clock: Clock,
         seed: str,
+        on_starved: Callable[[], None],
     ):
+        self._on_starved = on_starved
         self.quotas = quotas
         self.retry_budget = RetryBudget()
         self.name = name
@@ -135,16 +106,16 @@
                 del rooms[worker]
         for name, tasks in batch_by_worker.items():
             self.worker_by_name[name].place(tasks)
+        if self.queue.size:
+            self._on_starved()
 
     def _rooms(self) -> dict[Worker, int]:
         """Return the free slots that this entry may use, by worker."""
         rooms = {}
-        places = itertools.count()
         for worker in self.usable_workers():
-            if worker.open_streams >= self._shares.connections(worker):
+            if worker.is_backing_off() or worker.open_streams >= self._shares.connections(worker):
                 continue
-            allowed = self._shares.allowed(worker=worker, place=next(places), pool=self.name)
-            allowed = min(allowed, worker.health.concurrency(worker.slots))
+            allowed = min(self._shares.allowed(worker), worker.health.concurrency(worker.slots))
             room = allowed - len(worker.placed_by_id) - worker.held
             if room > 0:
                 rooms[worker] = room
--- a/zincwell/core/_worker.py
+++ b/zincwell/core/_worker.py
@@ -24,6 +24,8 @@
 RENEWALS_PER_LEASE = 3
 LEASE_RESERVE_S = 0.2
 ASK_AGAIN_S = 0.2
+SHORTEST_BACKOFF_S = 0.02
+LONGEST_BACKOFF_S = 1.0
 
 log = logging.getLogger("zincwell.worker")
 TaskHandler = Callable[[Task, WorkerEvent], None]
@@ -55,8 +57,9 @@
         self.health = Health()
         self.placed_by_id: dict[str, Task] = {}
         self.slots = vm.slots
-        self.others_running = 0
         self.held = 0
+        self._refusals = 0
+        self._backing_off_until = 0.0
         self._entry = entry
         self._transport = transport
         self._clock = clock
@@ -82,6 +85,10 @@
             return False
         return self._lease is not None and self._clock.monotonic() < self._lease_until
 
+    def is_backing_off(self) -> bool:
+        """Tell whether it has just refused a start."""
+        return self._clock.monotonic() < self._backing_off_until
+
     @property
     def open_streams(self) -> int:
         """Number of streams open to it."""
@@ -144,7 +151,6 @@
         self._lease_until = asked_at + lease.ttl_s - LEASE_RESERVE_S
         self._says_leaving = lease.leaving
         self.slots = lease.slots
-        self._note_running(lease.running)
         self._on_change()
         return True
 
@@ -212,19 +218,30 @@
             task = open_by_id.get(event.id)
             if task is not None:
                 self._take_one(task, event, open_by_id)
-            if event.running:
-                self._note_running(event.running)
 
     def _take_one(self, task: Task, event: WorkerEvent, open_by_id: dict[str, Task]) -> None:
+        if event.kind is EventKind.ACCEPTED:
+            self._refusals = 0
+        elif event.kind is EventKind.REFUSED:
+            self._back_off()
         if event.kind not in (EventKind.ACCEPTED, EventKind.RUNNING):
             del open_by_id[event.id]
             self.placed_by_id.pop(event.id, None)
         self._on_event(task, event)
 
+    def _back_off(self) -> None:
+        """Send nothing for a while after a refusal, longer each time.
+
+        A refusal means that our view of its slots is wrong; asked again at once, it would
+        refuse again, one wasted message each time, until the view is put right.
+        """
+        if self.is_backing_off():
+            return
+        pause_s = min(SHORTEST_BACKOFF_S * 2**self._refusals, LONGEST_BACKOFF_S)
+        self._refusals += 1
+        self._backing_off_until = self._clock.monotonic() + pause_s
+        asyncio.get_running_loop().call_later(pause_s, self._on_change)
+
     def _release(self, open_by_id: dict[str, Task]) -> None:
         for task_id in open_by_id:
             self.placed_by_id.pop(task_id, None)
-
-    def _note_running(self, running: int) -> None:
-        mine = sum(1 for task in self.placed_by_id.values() if task.started)
-        self.others_running = max(0, running - mine)
--- a/zincwell/entry.py
+++ b/zincwell/entry.py
@@ -28,10 +28,10 @@
 from zincwell.core._messages import HandoverCall, HandoverReply, Load
 from zincwell.core._ownership import Ownership
 from zincwell.core._peers import Heartbeats, Peers
-from zincwell.core._pool import Shares
 from zincwell.core._publishing import Publisher
 from zincwell.core._quotas import Neighbours
 from zincwell.core._seat import SeatKeeper
+from zincwell.core._shares import Shares
 from zincwell.core._snapshots import SnapshotWriter
 from zincwell.core._submissions import Submissions
 from zincwell.exceptions import LogUnavailableError, PeerUnavailableError, SettingsError
@@ -293,7 +293,10 @@
             owned_here=lambda key: self.submissions.owned_key(key),
         )
         transport = HttpPeerTransport(session=self._session, key=peer_key)
-        self.peers = Peers(transport=transport, timing=timing)
+        self.peers = Peers(
+            transport=transport,
+            count=lambda path: self.metrics.count("peer_messages", kind=path),
+        )
         self.publisher = Publisher(configuration=self.configuration, log_service=log_service)
         self.snapshots = SnapshotWriter(
             folds=[self.membership, self.configuration],
@@ -302,14 +305,22 @@
             is_writer=self.keeper.is_first,
             period_s=timing.snapshot_s,
         )
+        self.shares = Shares(
+            vm=settings.vm,
+            entries=self._domain_entries,
+            demand=lambda pool: self.dispatcher.has_demand(pool),
+            clock=clock,
+        )
+        self.membership.on_change.append(self._note_seats)
         self.dispatcher = Dispatcher(
             entry=self.seat.id,
             domain=settings.domain,
             clock=clock,
             timing=timing,
-            shares=Shares(index=self._share_index, contended=self._is_contended),
+            shares=self.shares,
             neighbours=self._neighbours,
             open_worker=self._open_worker,
+            on_starved=lambda: self.heartbeats.beat_now(),
             observe=self._observe_task,
             observe_waste=lambda kind: self.metrics.count("wasted", kind=kind),
         )
@@ -330,6 +341,8 @@
             timing=timing,
             load=self.load,
             seeds=lambda: self.watcher.entry_urls,
+            shares=self.shares,
+            dispatcher=self.dispatcher,
         )
         ownership = Ownership(
             seat=self.seat,
@@ -385,9 +398,12 @@
             return LONG_WAIT_S
         return self.settings.timing.heartbeat_s
 
-    def _share_index(self) -> tuple[int, int]:
-        names = sorted({seat.vm for seat in self.keeper.others()} | {self.seat.vm})
-        return names.index(self.seat.vm), len(names)
+    def _note_seats(self, domain: str, _: bool) -> None:
+        if domain == self.settings.domain:
+            self.shares.forget()
+
+    def _domain_entries(self) -> list[str]:
+        return sorted({seat.vm for seat in self.keeper.others()} | {self.seat.vm})
 
     def _neighbours(self) -> Neighbours:
         others = self.keeper.others()
@@ -399,10 +415,6 @@
             loads=[load for load in heard if load is not None],
         )
 
-    def _is_contended(self, pool: str) -> bool:
-        loads = (self.heartbeats.load_by_vm.get(seat.vm) for seat in self.keeper.others())
-        return any(load.queued_by_pool.get(pool, 0) > 0 for load in loads if load is not None)
-
     def _worker_answers(self, name: str) -> bool:
         workers = (pool.worker_by_name.get(name) for pool in self.dispatcher.pool_by_name.values())
         return any(worker.answers for worker in workers if worker is not None)
