Estimate each job's own wait, and tell the refused when their turn may come

Cause: admission compared the whole queue with the target delay. One tenant's flood refused the other's small jobs as well, which fair ordering would have started next; and all who were refused were told the same time to come back.

Ruled out: a larger target (the flooder fills it too); a per-tenant bound without an estimate (says nothing of time).

Change: the queue estimates the wait of a job from what goes before it in its own tenant's queue and from the tenant's share of the slots. Refused jobs get their turns one after the other, by the work of those refused before them. Starved pools send heartbeats only while a peer may still act on an offer.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 from pathlib import Path
+from typing import Any
 
 import fire
 
 from bench.driver import Report, Size, run_scenario, write_report
-from bench.scenarios import SCENARIOS
+from bench.scenarios import SCENARIOS, Scenario
 
 OUT = Path(__file__).parent / "out"
 HEADER = (
@@ -24,7 +26,14 @@
         """Print the names of all scenarios."""
         print("\n".join(SCENARIOS))
 
-    def run(self, *names: str, seed: int = 1, baseline: bool = True, out: str = "") -> None:
+    def run(
+        self,
+        *names: str,
+        seed: int = 1,
+        baseline: bool = True,
+        out: str = "",
+        pool: dict[str, Any] | None = None,
+    ) -> None:
         """Run scenarios, all unless some are named, each with the baseline in the same run.
 
         Args:
@@ -32,12 +41,13 @@
             seed: of arrivals and run times.
             baseline: whether to run the baseline too.
             out: folder for the results.
+            pool: settings of the pool that differ from the defaults, such as {ordering:fifo}.
         """
         folder = Path(out) if out else OUT
         print(HEADER, flush=True)
         for name in names or SCENARIOS:
             for is_baseline in (False, True) if baseline else (False,):
-                scenario = SCENARIOS[name]
+                scenario = _with_pool(SCENARIOS[name], pool or {})
                 if is_baseline and name in ("entry-killed", "log-down", "domain-cut"):
                     continue
                 report = asyncio.run(
@@ -47,6 +57,11 @@
                 print(_row(report), flush=True)
 
 
+def _with_pool(scenario: Scenario, pool: dict[str, Any]) -> Scenario:
+    document = {**scenario.document, "pools": {"braille": pool}}
+    return dataclasses.replace(scenario, document=document)
+
+
 def _row(report: Report) -> str:
     ratio = report.ratio.get("all", {"p50": 0, "p99": 0, "max": 0})
     outcomes = " ".join(f"{name}={count}" for name, count in sorted(report.outcomes.items()))
--- a/zincwell/core/_admission.py
+++ b/zincwell/core/_admission.py
@@ -11,18 +11,19 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from zincwell.core._jobs import Job
 from zincwell.core._messages import Load
 from zincwell.core._pool import Pool
 from zincwell.core._runtimes import RunTimes
 from zincwell.document import Admission as AdmissionKind
 from zincwell.document import Document, Tenant
-from zincwell.models import TaskSpec
 from zincwell.ports import Clock
 from zincwell.settings import MemorySettings
 
 SHORTEST_RETRY_MS = 50
 LONGEST_RETRY_MS = 30_000
 QUOTA_RETRY_MS = 500
+FULL_RETRY_MS = 1_000
 
 #: Gains and period of the delay controller, after PIE (Pan et al., HPSR 2013) as used by
 #: Laki et al., "Take your own share of the PIE" (ANRW 2017): refuse below a value threshold
@@ -124,11 +125,32 @@
         return ranked[place]
 
 
+class Turns:
+    """Tells those who are refused when their turn may come.
+
+    If all were told the time at which the queue is short enough again, all would come back
+    together and nearly all be refused again: one sees tens of refused attempts for each job.
+    So each is told to come after the work of those who were refused before it.
+    """
+
+    def __init__(self) -> None:
+        self._free_at_by_tenant: dict[str, float] = {}
+
+    def take(self, tenant: str, *, now: float, wait_s: float, work_s: float) -> float:
+        """Return in how many seconds to come back.
+
+        :param wait_s: time until the queue is short enough.
+        :param work_s: time that the work itself takes with the tenant's share of the slots.
+        """
+        earliest = max(self._free_at_by_tenant.get(tenant, 0.0), now + wait_s)
+        self._free_at_by_tenant[tenant] = earliest + work_s
+        return earliest - now
+
+
 class Admission:
     """Admits or refuses work at arrival.
 
     :param peer_loads: returns what the domain's other entries have told of their use.
-    :param own_load: returns our own use.
     """
 
     def __init__(
@@ -145,80 +167,87 @@
         self._clock = clock
         self._queued_by_tenant = queued_by_tenant
         self._peer_loads = peer_loads
+        self._turns = Turns()
         self._rule_by_pool: dict[str, tuple[AdmissionKind, DelayRule]] = {}
 
-    def check(
-        self,
-        *,
-        document: Document,
-        pool: Pool,
-        tenant: str,
-        service: str,
-        urgency: str,
-        deadline_ms: int,
-        tasks: list[TaskSpec],
-    ) -> Refusal | None:
-        """Return why work is refused, or None if it is admitted."""
-        rules = document.tenants.get(tenant)
+    def check(self, job: Job, *, document: Document, pool: Pool) -> Refusal | None:
+        """Return why a job is refused, or None if it is admitted."""
+        rules = document.tenants.get(job.tenant)
         if rules is None and not document.open_tenants:
-            return Refusal(reason="unknown_tenant", detail=f"no tenant {tenant!r}")
+            return Refusal(reason="unknown_tenant", detail=f"no tenant {job.tenant!r}")
         rules = rules or Tenant()
-        refusal = self._check_fit(pool, tasks) or self._check_quota(rules, tenant, len(tasks))
-        if refusal is not None:
-            return refusal
-        limit_ms = pool.rules.queue_target_ms
-        if urgency in document.urgencies:
-            limit_ms = document.urgencies[urgency].max_queue_ms or limit_ms
-        limit_ms = min(limit_ms, deadline_ms)
-        return self._check_delay(pool, service, tenant, rules, limit_ms, len(tasks))
+        return (
+            self._check_fit(job, pool)
+            or self._check_quota(job, rules)
+            or self._check_room(job, pool)
+            or self._check_delay(job, pool, rules, document)
+        )
 
-    def _check_fit(self, pool: Pool, tasks: list[TaskSpec]) -> Refusal | None:
+    def _check_fit(self, job: Job, pool: Pool) -> Refusal | None:
         largest_mb = pool.largest_memory_mb()
-        asked_mb = max(task.memory_mb for task in tasks)
+        asked_mb = max(task.spec.memory_mb for task in job.tasks)
         if pool.worker_by_name and asked_mb > largest_mb:
             detail = f"a task asks for {asked_mb} MB, the largest worker has {largest_mb} MB"
             return Refusal(reason="fits_no_worker", detail=detail)
         return None
 
-    def _check_quota(self, rules: Tenant, tenant: str, count: int) -> Refusal | None:
+    def _check_quota(self, job: Job, rules: Tenant) -> Refusal | None:
         if not rules.max_queued:
             return None
-        queued = self._queued_by_tenant().get(tenant, 0)
-        queued += sum(load.queued_by_tenant.get(tenant, 0) for load in self._peer_loads())
-        if queued + count <= rules.max_queued:
+        queued = self._queued_by_tenant().get(job.tenant, 0)
+        queued += sum(load.queued_by_tenant.get(job.tenant, 0) for load in self._peer_loads())
+        if queued + len(job.tasks) <= rules.max_queued:
             return None
         return Refusal(
             reason="quota",
             detail=f"{queued} of {rules.max_queued} tasks are queued",
-            retry_after_ms=QUOTA_RETRY_MS if count <= rules.max_queued else None,
+            retry_after_ms=QUOTA_RETRY_MS if len(job.tasks) <= rules.max_queued else None,
         )
 
+    def _check_room(self, job: Job, pool: Pool) -> Refusal | None:
+        if pool.queue.size + len(job.tasks) > self._memory.max_queued_tasks:
+            detail = f"{pool.queue.size} tasks are queued"
+            return Refusal(reason="queue_full", detail=detail, retry_after_ms=FULL_RETRY_MS)
+        if pool.slots() == 0:
+            detail = "no worker of the pool is usable"
+            return Refusal(reason="no_worker", detail=detail, retry_after_ms=FULL_RETRY_MS)
+        return None
+
     def _check_delay(
-        self, pool: Pool, service: str, tenant: str, rules: Tenant, limit_ms: float, count: int
+        self, job: Job, pool: Pool, rules: Tenant, document: Document
     ) -> Refusal | None:
         """Refuse what would wait longer than is of use to it."""
-        if pool.queue.size + count > self._memory.max_queued_tasks:
-            detail = f"{pool.queue.size} tasks are queued"
-            return Refusal(reason="queue_full", detail=detail, retry_after_ms=1_000)
-        slots = pool.slots()
-        if slots == 0:
-            detail = "no worker of the pool is usable"
-            return Refusal(reason="no_worker", detail=detail, retry_after_ms=1_000)
-        run_s = self._run_times.expected_s(service)
-        wait_ms = pool.queue.size * run_s / slots * 1000
-        queued = pool.queue.size_by_tenant.get(tenant, 0)
+        now = self._clock.monotonic()
+        wait_s = pool.queue.expected_wait_s(job, slots=self._own_slots(pool))
+        limit_s = self._limit_s(job, pool, document, now)
+        queued = pool.queue.size_by_tenant.get(job.tenant, 0)
         offer = Offer(
-            limit_ms=limit_ms,
-            wait_ms=wait_ms,
+            limit_ms=limit_s * 1000,
+            wait_ms=wait_s * 1000,
             value=rules.weight / (1 + queued),
-            now=self._clock.monotonic(),
+            now=now,
         )
         if self._rule(pool).admits(offer):
             return None
-        retry_ms = min(max(round(wait_ms - limit_ms), SHORTEST_RETRY_MS), LONGEST_RETRY_MS)
-        detail = f"the queue stands at {round(wait_ms)} ms, the limit is {round(limit_ms)} ms"
+        work_s = len(job.tasks) * self._run_times.expected_s(job.service) / pool.slots()
+        back_s = self._turns.take(
+            job.tenant, now=now, wait_s=max(wait_s - limit_s, 0.0), work_s=work_s
+        )
+        retry_ms = min(max(round(back_s * 1000), SHORTEST_RETRY_MS), LONGEST_RETRY_MS)
+        detail = f"it would wait {wait_s:.1f} s, the limit is {limit_s:.1f} s"
         return Refusal(reason="overload", detail=detail, retry_after_ms=retry_ms)
 
+    def _limit_s(self, job: Job, pool: Pool, document: Document, now: float) -> float:
+        limit_ms = pool.rules.queue_target_ms
+        if job.urgency in document.urgencies:
+            limit_ms = document.urgencies[job.urgency].max_queue_ms or limit_ms
+        return min(limit_ms / 1000, job.deadline_at - now)
+
+    def _own_slots(self, pool: Pool) -> float:
+        """Return the slots that serve our queue: all, or our part if peers have queues too."""
+        waiting = sum(1 for load in self._peer_loads() if load.queued_by_pool.get(pool.name, 0))
+        return pool.slots() / (1 + waiting)
+
     def _rule(self, pool: Pool) -> DelayRule:
         kind = pool.rules.admission
         known = self._rule_by_pool.get(pool.name)
--- a/zincwell/core/_ordering.py
+++ b/zincwell/core/_ordering.py
@@ -20,10 +20,12 @@
     Holds jobs, not tasks: a job of 1,200 tasks is one item, and cancelling it empties its
     own list of waiting tasks, after which the item is skipped when its turn comes.
 
+    :param run_s: returns the expected run time of a service's task in seconds.
     :param may_start: returns whether a tenant's quota lets one more of its tasks start.
     """
 
-    def __init__(self, *, may_start: Callable[[str], bool]) -> None:
+    def __init__(self, *, run_s: Callable[[str], float], may_start: Callable[[str], bool]) -> None:
+        self._run_s = run_s
         self._may_start = may_start
         self.size = 0
         self.size_by_tenant: dict[str, int] = {}
@@ -65,6 +67,13 @@
         else:
             self.size_by_tenant.pop(job.tenant, None)
 
+    @abc.abstractmethod
+    def expected_wait_s(self, job: Job, *, slots: float) -> float:
+        """Return how long a job not queued yet would wait for its first start, in seconds.
+
+        :param slots: slots that serve this queue.
+        """
+
     @abc.abstractmethod
     def jobs(self) -> list[Job]:
         """Return the jobs that have waiting tasks, in no particular order."""
@@ -85,10 +94,14 @@
 class FifoQueue(Queue):
     """First come, first served."""
 
-    def __init__(self, *, may_start: Callable[[str], bool]) -> None:
-        super().__init__(may_start=may_start)
+    def __init__(self, *, run_s: Callable[[str], float], may_start: Callable[[str], bool]) -> None:
+        super().__init__(run_s=run_s, may_start=may_start)
         self._jobs: deque[Job] = deque()
 
+    def expected_wait_s(self, job: Job, *, slots: float) -> float:
+        """Return how long a job would wait: for all that is queued."""
+        return self.size * self._run_s(job.service) / max(slots, 1)
+
     def jobs(self) -> list[Job]:
         """Return the jobs that have waiting tasks."""
         return [job for job in dict.fromkeys(self._jobs) if job.waiting]
@@ -125,7 +138,6 @@
     so it can't save up a claim and then shut the rest out.
 
     :param weight: returns the weight of a tenant and class.
-    :param run_s: returns the expected run time of a service's task in seconds.
     """
 
     def __init__(
@@ -135,13 +147,33 @@
         run_s: Callable[[str], float],
         may_start: Callable[[str], bool],
     ):
-        super().__init__(may_start=may_start)
+        super().__init__(run_s=run_s, may_start=may_start)
         self._weight = weight
-        self._run_s = run_s
         self._queue_by_owner: dict[tuple[str, str], _TenantQueue] = {}
         self._floor = 0.0
         self._order = itertools.count()
 
+    def expected_wait_s(self, job: Job, *, slots: float) -> float:
+        """Return how long a job would wait: for what goes before it in its own queue.
+
+        What other tenants have queued does not count but for their share of the slots.
+        """
+        owner = (job.tenant, job.urgency)
+        queue = self._queue_by_owner.get(owner)
+        if queue is None:
+            return 0.0
+        rank = self._rank(job)
+        before = (other for ranked, _, other in queue.heap if ranked <= rank)
+        ahead_s = sum(len(other.waiting) * self._run_s(other.service) for other in before)
+        return ahead_s / max(slots * self._share(owner), 1)
+
+    def _share(self, owner: tuple[str, str]) -> float:
+        """Return the share of the slots that falls to a tenant and class now."""
+        mine = self._weight(*owner)
+        queues = self._queue_by_owner.items()
+        others = [name for name, queue in queues if name != owner and queue.prune()]
+        return mine / (mine + sum(self._weight(*name) for name in others))
+
     def jobs(self) -> list[Job]:
         """Return the jobs that have waiting tasks."""
         queues = self._queue_by_owner.values()
@@ -209,7 +241,7 @@
 ) -> Queue:
     """Make the queue that a pool's ordering asks for."""
     if ordering is Ordering.FIFO:
-        return FifoQueue(may_start=may_start)
+        return FifoQueue(run_s=run_s, may_start=may_start)
     if ordering is Ordering.FAIR_DEADLINE:
         return FairDeadlineQueue(weight=weight, run_s=run_s, may_start=may_start)
     return FairLeastWorkQueue(weight=weight, run_s=run_s, may_start=may_start)
--- a/zincwell/core/_peers.py
+++ b/zincwell/core/_peers.py
@@ -160,7 +160,13 @@
             await asyncio.sleep(self._timing.heartbeat_s)
 
     def beat_now(self) -> None:
-        """Send heartbeats to the domain's peers at once, to have lent slots back."""
+        """Send heartbeats to the domain's peers at once, to have lent slots back.
+
+        Tasks that wait call this at each turn of the loop; peers that have been told already
+        are not told again before their time.
+        """
+        if not self._shares.may_get_back():
+            return
         for seat in self._keeper.others():
             self._send(seat.url, seat.vm)
 
--- a/zincwell/core/_shares.py
+++ b/zincwell/core/_shares.py
@@ -103,6 +103,11 @@
 
     # -- lending -------------------------------------------------------------------------
 
+    def may_get_back(self) -> bool:
+        """Tell whether a peer may still act on an offer of slots that we now need."""
+        loans = self._loan_by_vm.values()
+        return any(loan.offered and loan.offered[-1].per_worker_by_pool for loan in loans)
+
     def offer(self, vm: str, workers: list[Worker]) -> Lending:
         """Decide what to lend a peer, to be sent to it."""
         loan = self._loan_by_vm.setdefault(vm, Loan())
--- a/zincwell/core/_submissions.py
+++ b/zincwell/core/_submissions.py
@@ -38,6 +38,11 @@
 ATTACH_PATIENCE_S = 2.0
 OWNER_RETRY_MS = 1_000
 DRAIN_RETRY_MS = 100
+NO_CONFIGURATION = Refusal(
+    reason="no_configuration",
+    detail="this entry has no configuration yet",
+    retry_after_ms=OWNER_RETRY_MS,
+)
 
 log = logging.getLogger("zincwell.submissions")
 
@@ -109,11 +114,11 @@
             deadline_ms=request.deadline_ms,
             attempt=1,
         )
-        refused = self._refuse(submission)
-        if refused is not None:
-            return refused
         key = full_key(key=submission.key, tenant=request.tenant)
-        job = self._make_job(key, submission)
+        admitted = self._admit(key, submission)
+        if isinstance(admitted, Err):
+            return admitted.err_value
+        job = admitted.ok_value
         if request.idempotent:
             job.idempotent = True
             job.retries_left = self._dispatcher.document.retries.max_attempts - 1
@@ -217,28 +222,27 @@
         return await asyncio.shield(task)
 
     async def _claim(self, key: str, submission: Submission) -> Result:
-        refused = self._refuse(submission)
-        if refused is not None and submission.attempt == 1:
-            return Err(refused)
+        admitted = self._admit(key, submission)
+        if isinstance(admitted, Err) and submission.attempt == 1:
+            return admitted
         claim = Claim(
             key=key,
             created_at=submission.created_at,
             attempt=submission.attempt or 0,
-            intent=Intent.OWN if refused is None else Intent.REFUSE,
+            intent=Intent.REFUSE if isinstance(admitted, Err) else Intent.OWN,
             disown=self._book.closed_serial(key),
         )
         reply = await self._ownership.acquire(claim)
         if reply.kind is ClaimKind.OWNED and reply.owner.id != self._seat.id:
             return Ok(reply)
         if reply.kind in (ClaimKind.ABSENT, ClaimKind.OWNED):
-            return Err(refused)
+            return admitted
         if reply.kind is not ClaimKind.GRANTED:
             return Err(self._explain(submission, reply))
         if reply.serial <= self._book.closed_serial(key):
             return Err(_unknown(submission.key, "grant_closed", DRAIN_RETRY_MS))
-        job = self._make_job(key, submission)
-        self._start(job, serial=reply.serial)
-        return Ok(job)
+        self._start(admitted.ok_value, serial=reply.serial)
+        return admitted
 
     def _explain(self, submission: Submission, reply: ClaimReply) -> Answer:
         """Say truly what is known of a key that we got no grant for.
@@ -249,10 +253,23 @@
             return _not_run(submission.key, reply.reason, reply.retry_after_ms)
         return _unknown(submission.key, reply.reason, reply.retry_after_ms)
 
-    def _refuse(self, submission: Submission) -> Answer | None:
-        refusal = self._why_refused(submission)
-        if refusal is None:
-            return None
+    def _admit(self, key: str, submission: Submission) -> Result[Job, Answer]:
+        """Make a job of a submission, or an answer that says why it is refused."""
+        document = self._dispatcher.document
+        pool = self._dispatcher.pool_of(submission.service)
+        if document is None:
+            refusal = NO_CONFIGURATION
+        elif pool is None:
+            detail = f"no service {submission.service!r}"
+            refusal = Refusal(reason="unknown_service", detail=detail)
+        else:
+            job = self._make_job(key, submission, pool.name)
+            refusal = self._admission.check(job, document=document, pool=pool)
+            if refusal is None:
+                return Ok(job)
+        return Err(self._tell_refusal(submission, refusal))
+
+    def _tell_refusal(self, submission: Submission, refusal: Refusal) -> Answer:
         self._observe_refusal(submission.tenant, submission.urgency, refusal.reason)
         log.info(
             "refused",
@@ -266,34 +283,13 @@
             retry_after_ms=refusal.retry_after_ms,
         )
 
-    def _why_refused(self, submission: Submission) -> Refusal | None:
-        document = self._dispatcher.document
-        if document is None:
-            return Refusal(
-                reason="no_configuration",
-                detail="this entry has no configuration yet",
-                retry_after_ms=OWNER_RETRY_MS,
-            )
-        pool = self._dispatcher.pool_of(submission.service)
-        if pool is None:
-            return Refusal(reason="unknown_service", detail=f"no service {submission.service!r}")
-        return self._admission.check(
-            document=document,
-            pool=pool,
-            tenant=submission.tenant,
-            service=submission.service,
-            urgency=submission.urgency,
-            deadline_ms=submission.deadline_ms,
-            tasks=submission.tasks,
-        )
-
-    def _make_job(self, key: str, submission: Submission) -> Job:
+    def _make_job(self, key: str, submission: Submission, pool: str) -> Job:
         now = self._clock.monotonic()
         job = Job(
             key=key,
             tenant=submission.tenant,
             service=submission.service,
-            pool=self._dispatcher.document.services[submission.service].pool,
+            pool=pool,
             urgency=submission.urgency,
             created_at=submission.created_at,
             deadline_at=now + submission.deadline_ms / 1000,
