Hand keys over to entries that join, and mend five more faults of take-overs

Cause, each found by reading for the docs and shown by a failing test: - a handover compared whole seats; the asker's own lacks its offset in the log, so no key was ever handed over, and an entry that joined granted keys of running jobs anew: two starts a task; - the client stated a new creation time when it came back with a key, which made the next home take it for a fresh one: two starts a task; - what a dead peer had told of its queue counted against quotas for good; - a drain waited for open requests only, not for jobs taken with wait=0; - an entry whose seat was closed in a pause opened it again and was never acknowledged, so it could not grant in an outage of the log; - a home that drained was never asked for what it knew, as its seat was closed by then. And one of our own tests was red: a first attempt that met a home taking over was truly not_run, and the second was told outcome_unknown.

Ruled out: a new incarnation for a reopened seat (all parts hold the seat); remembering refused keys at the new home (it is not there yet).

Change: seats are compared by id; a key of the client goes with the time at which it was made (JobKey); loads count for 1 s; a drain waits for all jobs; a closing is remembered for one opening of a seat; seats that left in order are asked as well; callers may state never_run. A worker with fewer slots than entries is lent by its real parts.

--- a/bench/driver.py
+++ b/bench/driver.py
@@ -159,13 +159,14 @@
         vm = self._random.choice(list(self._urls))
         sent = Sent(arrival=arrival, key=f"{self._domain(vm)}job-{arrival.number}")
         submission = self._submission(arrival, sent.key)
-        attempt = 0
+        attempt, never_run = 0, True
         while True:
             attempt += 1
-            submission["attempt"] = attempt
+            submission["attempt"], submission["never_run"] = attempt, never_run
             left_s = due_at + DEADLINE_S - time.monotonic()
             submission["deadline_ms"] = max(1, round(left_s * 1000))
             answer = await self._post(self._urls[vm], submission, left_s)
+            never_run &= answer is not None and answer.outcome is Outcome.NOT_RUN
             pause_s = self._pause_s(sent, answer)
             if pause_s is None or time.monotonic() + pause_s > due_at + DEADLINE_S:
                 sent.answer = answer
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -277,13 +277,23 @@
         return await self.post(entry.callers + "/v1/submissions" + suffix, submission)
 
     async def resend(self, entry: EntryProcess, submission: dict) -> dict:
-        """Send again, counting attempts and honouring retry-after, until it does not help."""
-        attempt = submission.get("attempt") or 1
-        for _ in range(50):
-            attempt += 1
-            _, answer = await self.submit(entry, {**submission, "attempt": attempt})
+        """Send again what was sent once, until coming back does not help."""
+        return await self._send_on(entry, submission, attempt=2, never_run=False)
+
+    async def submit_to_end(self, entry: EntryProcess, submission: dict) -> dict:
+        """Send for the first time, and again until coming back does not help."""
+        return await self._send_on(entry, submission, attempt=1, never_run=True)
+
+    async def _send_on(
+        self, entry: EntryProcess, submission: dict, *, attempt: int, never_run: bool
+    ) -> dict:
+        """Send as the client does: attempts counted, retry-after honoured."""
+        for number in range(attempt, attempt + 50):
+            sent = {**submission, "attempt": number, "never_run": never_run}
+            _, answer = await self.submit(entry, sent)
             if answer["outcome"] == "completed" or "retry_after_ms" not in answer:
                 return answer
+            never_run = never_run and answer["outcome"] == "not_run"
             await asyncio.sleep(answer["retry_after_ms"] / 1000)
         raise AssertionError(f"told to come back for ever: {answer}")
 
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -171,7 +171,6 @@
     async with zincwell.Client(urls=urls, tenant="school") as client:
         answers = [await client.submit("transcriber", [{"echo": n}]) for n in range(6)]
 
-    print([(a.outcome.value, a.reason, a.detail) for a in answers])
     assert_that([a.outcome for a in answers], Equals([zincwell.Outcome.COMPLETED] * 6))
     assert_that([a.tasks[0].json() for a in answers], Equals(list(range(6))))
     assert_that(await cluster.starts_by_task(), AT_MOST_ONCE)
@@ -183,9 +182,10 @@
 
     def use() -> list:
         with zincwell.BlockingClient(urls=urls, tenant="school") as client:
-            job = client.submit("transcriber", [{"echo": "page"}])
+            key = client.make_key()
+            job = client.submit("transcriber", [{"echo": "page"}], key=key)
             call = client.request("transcriber", {"echo": "cue"}, idempotent=True)
-            again = client.submit("transcriber", [{"echo": "page"}], key=job.key)
+            again = client.submit("transcriber", [{"echo": "page"}], key=key)
             return [job, call, again]
 
     job, call, again = await asyncio.to_thread(use)
--- a/tests/test_ownership_property.py
+++ b/tests/test_ownership_property.py
@@ -293,6 +293,7 @@
             key=key,
             created_at=caller.created_at,
             attempt=caller.attempts if counts else 0,
+            never_run=counts and caller.attempts == 1,
             intent=Intent.REFUSE if refuses and caller.attempts > 1 else Intent.OWN,
         )
         self._ask(self.entry_by_vm[vm], claim)
--- a/zincwell/__init__.py
+++ b/zincwell/__init__.py
@@ -6,7 +6,7 @@
 <Outcome.COMPLETED: 'completed'>
 """
 
-from zincwell.client import BlockingClient, Client
+from zincwell.client import BlockingClient, Client, JobKey
 from zincwell.exceptions import BadRequestError, ClientError, ZincwellError
 from zincwell.models import Answer, Outcome, TaskAnswer
 
@@ -17,6 +17,7 @@
     "BlockingClient",
     "Client",
     "ClientError",
+    "JobKey",
     "Outcome",
     "TaskAnswer",
     "ZincwellError",
--- a/zincwell/client.py
+++ b/zincwell/client.py
@@ -50,6 +50,18 @@
         return self.wall + time.monotonic() - self.read_at
 
 
+@dataclass(frozen=True, kw_only=True)
+class JobKey:
+    """An idempotency key with the time at which it was made, by the entries' clock.
+
+    Keep both to come back for the answer later, from another process too. The time tells an
+    entry whether all that may have run under the key is still known.
+    """
+
+    key: str
+    created_at: float
+
+
 class Client:
     """Asynchronous client.
 
@@ -65,6 +77,7 @@
         self._urls = list(urls)
         self._tenant = tenant
         self._clock: _EntryClock | None = None
+        self._unsent_keys: set[str] = set()
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> Client:
@@ -84,30 +97,43 @@
         urgency: str = "normal",
         deadline_s: float = DEFAULT_DEADLINE_MS / 1000,
         run_ms: int = 0,
-        key: str | None = None,
+        key: JobKey | None = None,
     ) -> Answer:
         """Run one task for each payload and return the whole answer.
 
         :param payloads: JSON values, one a task.
         :param deadline_s: seconds after which the answer is of no more use.
         :param run_ms: declared run time of a task in milliseconds, if known.
-        :param key: idempotency key of an earlier submit to join; made here otherwise.
+        :param key: key from :meth:`make_key`, to come back for the answer of an earlier
+            submit or to be able to; made here otherwise.
         :returns: an answer; look at its ``outcome`` before its tasks.
         :raises ClientError: if no entry can be reached before the deadline.
         :raises BadRequestError: if the submission itself is refused as malformed.
         """
-        clock = await self._entry_clock()
+        job_key = key or await self.make_key()
         tasks = [TaskSpec(payload=_raw(payload), run_ms=run_ms) for payload in payloads]
         submission = Submission(
-            key=key or f"{clock.domain}/{uuid.uuid4().hex}",
-            created_at=round(clock.now(), 3),
+            key=job_key.key,
+            created_at=job_key.created_at,
             tenant=self._tenant,
             service=service,
             tasks=tasks,
             urgency=urgency,
             deadline_ms=max(1, round(deadline_s * 1000)),
         )
-        return await self._submit_until(submission, time.monotonic() + deadline_s, key is None)
+        is_new = job_key.key in self._unsent_keys
+        self._unsent_keys.discard(job_key.key)
+        return await self._submit_until(submission, time.monotonic() + deadline_s, is_new)
+
+    async def make_key(self) -> JobKey:
+        """Make a new key.
+
+        :raises ClientError: if no entry can be reached to ask for its time.
+        """
+        clock = await self._entry_clock()
+        key = f"{clock.domain}/{uuid.uuid4().hex}"
+        self._unsent_keys.add(key)
+        return JobKey(key=key, created_at=round(clock.now(), 3))
 
     async def request(
         self,
@@ -148,18 +174,22 @@
     async def _submit_until(
         self, submission: Submission, give_up_at: float, is_new: bool
     ) -> Answer:
-        """Send until there is a final answer, counting the attempts.
+        """Send until there is a final answer.
 
-        Only the first attempt with a key made here says that it is the first.
+        Attempts with a key made and first sent here are counted, and say whether all before
+        them were answered ``not_run``. Of another key nobody knows what was sent before.
         """
-        attempt = 1 if is_new else 2
+        attempt, never_run = 1, is_new
         tries = 0
         while True:
+            tries += 1
             left_s = give_up_at - time.monotonic()
             message = msgspec.structs.replace(
-                submission, attempt=attempt, deadline_ms=max(1, round(left_s * 1000))
+                submission,
+                attempt=attempt if is_new else None,
+                never_run=never_run,
+                deadline_ms=max(1, round(left_s * 1000)),
             )
-            tries += 1
             answer, was_sent = await self._try(message, left_s)
             if answer is not None and answer.outcome is None:
                 raise BadRequestError(f"{answer.reason}: {answer.detail}")
@@ -171,7 +201,9 @@
                     key=submission.key, outcome=Outcome.OUTCOME_UNKNOWN, reason="no_answer"
                 )
             await asyncio.sleep(pause_s)
-            attempt += was_sent
+            if was_sent:
+                attempt += 1
+                never_run &= answer is not None and answer.outcome is Outcome.NOT_RUN
 
     async def _try(self, message: Submission, left_s: float) -> tuple[Answer | None, bool]:
         """Return the answer, if there is one, and whether anything may have been sent."""
@@ -234,6 +266,10 @@
         """Run one task for each payload; see :meth:`Client.submit`."""
         return self._call(self._client.submit(service, payloads, **options))
 
+    def make_key(self) -> JobKey:
+        """Make a new key; see :meth:`Client.make_key`."""
+        return self._call(self._client.make_key())
+
     def request(self, service: str, payload: Any, **options: Any) -> Answer:
         """Make a single call; see :meth:`Client.request`."""
         return self._call(self._client.request(service, payload, **options))
--- a/zincwell/core/_dispatch.py
+++ b/zincwell/core/_dispatch.py
@@ -20,7 +20,6 @@
 from zincwell.ports import Clock, EventKind, Vm, WorkerEvent, WorkerTransport
 from zincwell.settings import TimingSettings
 
-RETRY_MS = 500
 STOP_PERIOD_S = 0.1
 
 log = logging.getLogger("zincwell.dispatch")
@@ -110,7 +109,7 @@
         job.answer.add_done_callback(lambda _: timer.cancel())
         pool.wake()
 
-    def give_up(self, job: Job, reason: str, retry_after_ms: int | None = None) -> None:
+    def give_up(self, job: Job, reason: str) -> None:
         """End a job at once: drop what waits, stop what runs, answer."""
         if job.is_answered:
             return
@@ -118,7 +117,7 @@
         for task in pool.queue.discard(job):
             _finish(task, Outcome.NOT_RUN, reason)
         self._stop_placed(pool, job)
-        self._answer(job, make_answer(job, reason=reason, retry_after_ms=retry_after_ms))
+        self._answer(job, make_answer(job, reason=reason))
 
     def wake(self) -> None:
         """Place what can be placed."""
@@ -278,8 +277,7 @@
         if job.is_answered:
             return
         if outcome is not Outcome.COMPLETED:
-            retry_after_ms = RETRY_MS if outcome is Outcome.NOT_RUN else None
-            self.give_up(job, reason, retry_after_ms)
+            self.give_up(job, reason)
         elif job.unfinished == 0:
             self._answer(job, make_answer(job))
 
--- a/zincwell/core/_home.py
+++ b/zincwell/core/_home.py
@@ -30,6 +30,7 @@
 
 NOT_READY_MS = 200
 ABRUPT_LEASES = 2
+LEAVER_S = 2.0
 
 
 @dataclass
@@ -77,6 +78,8 @@
         self._owned_by_key: dict[str, OwnedKey] = {}
         self._refused_by_key: dict[str, tuple[int, float]] = {}
         self._awaited: set[str] = set()
+        self._leavers: list[Seat] = []
+        self._leavers_until = 0.0
         membership.on_change.append(self._note_change)
 
     @property
@@ -109,7 +112,7 @@
         seats = self._membership.seats_of(seat.domain)
         known = {key.key: key for key in owned}
         known.update(self._owned_by_key)
-        return [key for key in known.values() if home_of_key(key.key, seats) == seat]
+        return [key for key in known.values() if _is_home(seat, key.key, seats)]
 
     def floor(self) -> float:
         """Return the wall clock time from when all that we were home to is known."""
@@ -147,6 +150,8 @@
     def awaited(self) -> list[Seat]:
         """Return the seats that have yet to tell us what they know."""
         seats = {seat.id: seat for seat in self._membership.seats_by_vm.values()}
+        if self._clock.monotonic() < self._leavers_until:
+            seats |= {seat.id: seat for seat in self._leavers}
         self._awaited &= set(seats)
         return [seats[seat_id] for seat_id in sorted(self._awaited)]
 
@@ -176,7 +181,7 @@
         if wait_s > 0:
             return _not_ready("taking_over", round(wait_s * 1000) + NOT_READY_MS)
         fresh = claim.created_at > home_since + self._timing.clock_margin_s
-        if claim.attempt == 1 or fresh:
+        if claim.never_run or fresh:
             return self._decide_new(asker, claim)
         if self._awaited:
             return _not_ready("recovering")
@@ -219,8 +224,14 @@
             # its grant may be taken up one lease later.
             now += ABRUPT_LEASES * self._timing.seat_lease_s
         seats = self._membership.seats_of(domain)
+        before = self._steps[-1].seats if self._steps else []
         self._steps.append(Step(since=self._clock.wall(), grants_from=now, seats=seats))
+        # A seat that its holder closed itself is asked as well, for as long as it is there.
+        staying = {seat.id for seat in seats}
+        self._leavers = [] if abrupt else [seat for seat in before if seat.id not in staying]
+        self._leavers_until = self._clock.monotonic() + LEAVER_S
         self._awaited = {seat.id for seat in self._membership.seats_by_vm.values()}
+        self._awaited |= {seat.id for seat in self._leavers}
         self._awaited.discard(self._keeper.seat.id)
 
     def _home_since(self, key: str) -> tuple[float, float]:
@@ -251,3 +262,8 @@
 
 def _not_ready(reason: str, retry_after_ms: int = NOT_READY_MS) -> ClaimReply:
     return ClaimReply(kind=ClaimKind.NOT_READY, reason=reason, retry_after_ms=retry_after_ms)
+
+
+def _is_home(seat: Seat, key: str, seats: list[Seat]) -> bool:
+    home = home_of_key(key, seats)
+    return home is not None and home.id == seat.id
--- a/zincwell/core/_jobs.py
+++ b/zincwell/core/_jobs.py
@@ -104,7 +104,7 @@
     return xxhash.xxh3_64_intdigest(msgspec.json.encode(asked))
 
 
-def make_answer(job: Job, *, reason: str = "", retry_after_ms: int | None = None) -> Answer:
+def make_answer(job: Job, *, reason: str = "") -> Answer:
     """Make the whole answer of a job whose outcome is decided.
 
     A task that is not final by now was given up: queued ones never ran, for placed ones
@@ -128,7 +128,6 @@
         key=job.key.rpartition("@")[0],
         outcome=outcome,
         reason="" if complete else reason or _first_reason(job),
-        retry_after_ms=None if complete else retry_after_ms,
         tasks=tasks,
     )
 
@@ -190,6 +189,14 @@
         """Return the latest grant of a key under which we never start it."""
         return self._closed_by_key.get(key, (0, 0.0))[0]
 
+    async def wait_answered(self) -> None:
+        """Wait until all jobs are answered, also those that no open request waits for."""
+        while True:
+            open_answers = [job.answer for job in self.jobs_by_key.values() if not job.is_answered]
+            if not open_answers:
+                return
+            await asyncio.wait(open_answers)
+
     def keep(self, job: Job) -> None:
         """Keep a finished job's answer, and drop the oldest outputs beyond the bound."""
         answer = job.answer.result()
--- a/zincwell/core/_messages.py
+++ b/zincwell/core/_messages.py
@@ -85,12 +85,14 @@
     :param intent: with ``refuse`` the asker is about to tell its caller that the key has not
         run; the home then grants it to no earlier attempt, which would make that untrue.
     :param attempt: number of the caller's attempt; 0 if the caller does not count.
+    :param never_run: the caller states that no earlier attempt can have run.
     :param disown: serial of a grant whose owner has said that it never started.
     """
 
     key: str
     created_at: float
     attempt: int = 0
+    never_run: bool = False
     intent: Intent = Intent.OWN
     disown: int = 0
 
@@ -141,7 +143,6 @@
     """A new home asks for what others know of its keys."""
 
     seat: Seat
-    domains: list[str]
 
 
 class HandoverReply(Struct, frozen=True, kw_only=True):
--- a/zincwell/core/_peers.py
+++ b/zincwell/core/_peers.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import TypeVar
 
 import msgspec
@@ -30,6 +31,7 @@
 
 MAX_CLAIMS_IN_BATCH = 500
 STRANGER_EVERY = 8
+LOAD_S = 1.0
 
 log = logging.getLogger("zincwell.peers")
 Message = TypeVar("Message")
@@ -111,6 +113,14 @@
                 future.set_result(reply)
 
 
+@dataclass(frozen=True, kw_only=True)
+class HeardLoad:
+    """A peer's load and when it told it."""
+
+    load: Load
+    at: float
+
+
 class Heartbeats:
     """Sends heartbeats to the domain's peers and now and then to a stranger.
 
@@ -146,7 +156,7 @@
         self._seeds = seeds
         self._task_by_url: dict[str, asyncio.Task] = {}
         self._round = 0
-        self.load_by_vm: dict[str, Load] = {}
+        self._heard_by_vm: dict[str, HeardLoad] = {}
 
     async def run(self) -> None:
         """Send heartbeats until cancelled, never more than one at a time to a peer."""
@@ -159,6 +169,16 @@
             self._round += 1
             await asyncio.sleep(self._timing.heartbeat_s)
 
+    def loads(self) -> list[Load]:
+        """Return what the domain's other entries have lately told of their use.
+
+        What an entry told before it died or was cut off is no longer so, and a quota counted
+        from it would be refused for ever.
+        """
+        oldest = self._clock.monotonic() - LOAD_S
+        heard = (self._heard_by_vm.get(seat.vm) for seat in self._keeper.others())
+        return [one.load for one in heard if one is not None and one.at > oldest]
+
     def beat_now(self) -> None:
         """Send heartbeats to the domain's peers at once, to have lent slots back.
 
@@ -253,7 +273,8 @@
 
     def _note_load(self, heartbeat: Heartbeat) -> None:
         if heartbeat.seat.domain == self._keeper.seat.domain:
-            self.load_by_vm[heartbeat.seat.vm] = heartbeat.load
+            now = self._clock.monotonic()
+            self._heard_by_vm[heartbeat.seat.vm] = HeardLoad(load=heartbeat.load, at=now)
 
     def _is_ahead(self, heartbeat: Heartbeat) -> bool:
         return (
--- a/zincwell/core/_seat.py
+++ b/zincwell/core/_seat.py
@@ -59,7 +59,7 @@
         self._log_service = log_service
         self._clock = clock
         self._timing = timing
-        self._closing: set[str] = set()
+        self._closing_by_id: dict[str, int] = {}
         self._joined = False
         self.leaving = False
 
@@ -103,15 +103,16 @@
     def acknowledges(self, seat: Seat) -> bool:
         """Note a heartbeat from a peer and tell whether we acknowledge its seat.
 
-        A seat that we have begun to close is never acknowledged again: an acknowledgement
-        would extend its lease past the moment from which its keys are granted elsewhere.
+        A seat that we have begun to close is not acknowledged again unless it is opened anew:
+        an acknowledgement would extend its lease past the moment from which its keys are
+        granted elsewhere.
         """
         contact = self._contact(seat)
         contact.heard_at = self._clock.monotonic()
-        if seat.id in self._closing:
-            return False
         current = self.membership.seats_by_vm.get(seat.vm)
-        return current is None or current.incarnation == seat.incarnation
+        if current is None or current.id != seat.id:
+            return False
+        return self._closing_by_id.get(seat.id) != current.opened
 
     def note_answer(self, *, seat: Seat, epoch: int, sent_at: float, ack: bool) -> None:
         """Note a peer's answer to our heartbeat."""
@@ -151,8 +152,8 @@
             return [] if self.leaving else [_opening(self.seat)]
         silent = [seat for seat in self.others() if self._is_silent(seat)]
         for seat in silent:
-            if seat.id not in self._closing:
-                self._closing.add(seat.id)
+            if self._closing_by_id.get(seat.id) != seat.opened:
+                self._closing_by_id[seat.id] = seat.opened
                 log.warning("peer_silent", extra={"seat": seat.id})
         return [self._closing_of(seat) for seat in silent]
 
--- a/zincwell/core/_shares.py
+++ b/zincwell/core/_shares.py
@@ -124,23 +124,30 @@
     def _spare(self, workers: list[Worker]) -> Lending:
         """Return what we can lend now, keeping a little for what may come."""
         entries = self._entries()
+        spare_by_worker = {
+            worker: self._spare_of(worker) for worker in workers if not self._demand(worker.vm.pool)
+        }
         per_worker: dict[str, int] = {}
-        less = {}
-        for worker in workers:
+        for worker, spare in spare_by_worker.items():
             pool = worker.vm.pool
-            if self._demand(pool):
-                continue
-            own = worker.slots // len(entries)
-            spare = own - max(1, own // HEADROOM_PARTS)
-            if spare <= 0:
-                continue
             per_worker[pool] = max(spare, per_worker.get(pool, 0))
-            used = min(own, len(worker.placed_by_id) + worker.held)
-            if used > own - spare:
-                less[worker.name] = used - (own - spare)
+        less = {
+            worker.name: per_worker[worker.vm.pool] - spare
+            for worker, spare in spare_by_worker.items()
+            if spare < per_worker[worker.vm.pool]
+        }
         borrowers = [name for name in entries if name != self._vm]
+        per_worker = {pool: spare for pool, spare in per_worker.items() if spare}
         return Lending(per_worker_by_pool=per_worker, less_by_worker=less, borrowers=borrowers)
 
+    def _spare_of(self, worker: Worker) -> int:
+        entries = self._entries()
+        own = part_of(
+            worker.slots, index=entries.index(self._vm), count=len(entries), worker=worker.name
+        )
+        used = len(worker.placed_by_id) + worker.held
+        return max(0, own - max(used, own // HEADROOM_PARTS))
+
     def note_use(self, vm: str, *, seen: int, used_by_worker: dict[str, int]) -> bool:
         """Note a borrower's answer; tell whether slots may have come back by it.
 
--- a/zincwell/core/_submissions.py
+++ b/zincwell/core/_submissions.py
@@ -223,12 +223,13 @@
 
     async def _claim(self, key: str, submission: Submission) -> Result:
         admitted = self._admit(key, submission)
-        if isinstance(admitted, Err) and submission.attempt == 1:
+        if isinstance(admitted, Err) and submission.cannot_have_run:
             return admitted
         claim = Claim(
             key=key,
             created_at=submission.created_at,
             attempt=submission.attempt or 0,
+            never_run=submission.cannot_have_run,
             intent=Intent.REFUSE if isinstance(admitted, Err) else Intent.OWN,
             disown=self._book.closed_serial(key),
         )
@@ -247,9 +248,9 @@
     def _explain(self, submission: Submission, reply: ClaimReply) -> Answer:
         """Say truly what is known of a key that we got no grant for.
 
-        Only a caller that never sent the key before can be told that it has not run.
+        Only a caller none of whose attempts can have run is told that it has not run.
         """
-        if submission.attempt == 1:
+        if submission.cannot_have_run:
             return _not_run(submission.key, reply.reason, reply.retry_after_ms)
         return _unknown(submission.key, reply.reason, reply.retry_after_ms)
 
--- a/zincwell/demo.py
+++ b/zincwell/demo.py
@@ -99,13 +99,14 @@
     ideal_ms = max(page["sleep_ms"] for page in pages)
     async with Client(urls=[entry.callers.url], tenant="school") as client:
         began = time.monotonic()
-        running = asyncio.ensure_future(client.submit("transcriber", pages))
+        key = await client.make_key()
+        running = asyncio.ensure_future(client.submit("transcriber", pages, key=key))
         while not running.done():
             print(f"progress: {entry.progress()} of {PAGES} tasks done")
             await asyncio.wait([running], timeout=0.1)
         answer = running.result()
         took_ms = (time.monotonic() - began) * 1000
-        again = await client.submit("transcriber", pages, key=answer.key)
+        again = await client.submit("transcriber", pages, key=key)
     starts = sum(len(worker.ledger) for worker in workers)
     _print_summary(answer, again, starts, took_ms, ideal_ms)
 
--- a/zincwell/entry.py
+++ b/zincwell/entry.py
@@ -160,6 +160,7 @@
         log.info("drain_begins", extra={"vm": self.settings.vm})
         await asyncio.sleep(self.settings.timing.drain_notice_s)
         await self.callers.close()
+        await self.book.wait_answered()
         await self._hand_over_seat()
         await self.close()
         log.info("drain_ends", extra={"vm": self.settings.vm})
@@ -358,7 +359,7 @@
             run_times=self.dispatcher.run_times,
             clock=clock,
             queued_by_tenant=self.dispatcher.queued_by_tenant,
-            peer_loads=lambda: list(self.heartbeats.load_by_vm.values()),
+            peer_loads=lambda: self.heartbeats.loads(),
         )
         self.book = JobBook(clock=clock, timing=timing, memory=settings.memory)
         self.submissions = Submissions(
@@ -407,12 +408,11 @@
 
     def _neighbours(self) -> Neighbours:
         others = self.keeper.others()
-        heard = (self.heartbeats.load_by_vm.get(seat.vm) for seat in others)
         domains = {seat.domain for seat in self.membership.seats_by_vm.values()}
         return Neighbours(
             domains=len(domains | {self.settings.domain}),
             peers=len(others),
-            loads=[load for load in heard if load is not None],
+            loads=self.heartbeats.loads(),
         )
 
     def _worker_answers(self, name: str) -> bool:
@@ -451,7 +451,7 @@
             reply = await self.peers.call(
                 url=seat.url,
                 path="/peer/handover",
-                message=HandoverCall(seat=self.seat, domains=self._domains()),
+                message=HandoverCall(seat=self.seat),
                 reply=HandoverReply,
                 timeout_s=HANDOVER_TIMEOUT_S,
             )
--- a/zincwell/models.py
+++ b/zincwell/models.py
@@ -49,7 +49,9 @@
 
     :param key: idempotency key; ``domain/...`` gives it a home in that failure domain.
     :param created_at: when the key was made, in seconds since 1970, the same at each resend.
-    :param attempt: 1 only if the key was never sent before; left out where not known.
+    :param attempt: number of the attempt, from 1; left out where the caller does not count.
+    :param never_run: every earlier attempt with the key was answered ``not_run``, or there was
+        none. An attempt that was not answered at all may have run.
     :param urgency: class by which admission and metrics tell jobs apart.
     :param deadline_ms: milliseconds from arrival until the caller has no more use for it.
     """
@@ -62,6 +64,12 @@
     urgency: Name = "normal"
     deadline_ms: DeadlineMs = DEFAULT_DEADLINE_MS
     attempt: Annotated[int, Meta(ge=1)] | None = None
+    never_run: bool = False
+
+    @property
+    def cannot_have_run(self) -> bool:
+        """Whether, by what the caller states, no earlier attempt can have run."""
+        return self.never_run or self.attempt == 1
 
 
 class Request(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
