Lend each peer by name, within what is left

Cause: a state machine test with three entries found slots used twice: parts of a new split were offered while a peer still held a larger part of an earlier one, and borrowed slots in use were told to the wrong lender.

Ruled out: leaving it to the worker's refusal (a wasted message each).

Change: a lending names one peer's slots, clamped to what is left after use and other peers' loans; a borrower tells each lender all that may be its.

--- a/zincwell/core/_messages.py
+++ b/zincwell/core/_messages.py
@@ -27,18 +27,16 @@
 
 
 class Lending(Struct, frozen=True, kw_only=True, omit_defaults=True):
-    """Slots that an entry lends its domain peers, split evenly among them.
+    """Slots that an entry lends one of its domain peers.
 
     :param number: grows with each change.
     :param per_worker_by_pool: slots lent of each worker of a pool.
-    :param less_by_worker: slots of those that the lender uses itself; named only where it does.
-    :param borrowers: names of the peers, sorted.
+    :param less_by_worker: how many less of the workers named.
     """
 
     number: int = 0
     per_worker_by_pool: dict[str, int] = {}
     less_by_worker: dict[str, int] = {}
-    borrowers: list[str] = []
 
 
 class Heartbeat(Struct, frozen=True, kw_only=True, omit_defaults=True):
--- a/zincwell/core/_shares.py
+++ b/zincwell/core/_shares.py
@@ -51,10 +51,21 @@
 
 @dataclass
 class Credit:
-    """What one peer lends us."""
+    """What one peer lends us.
+
+    :ivar before: what it lent before that; tasks may still run on it.
+    :ivar owed_by_worker: its slots that we last told it we use.
+    """
 
     lending: Lending
     heard_at: float
+    before: Lending = NO_LENDING
+    owed_by_worker: dict[str, int] = field(default_factory=dict)
+
+    def most(self, worker: Worker) -> int:
+        """Return how many slots of a worker we may be using of it."""
+        lent = max(_lent_by(self.lending, worker), _lent_by(self.before, worker))
+        return max(lent, self.owed_by_worker.get(worker.name, 0))
 
 
 class Shares:
@@ -113,7 +124,7 @@
         loan = self._loan_by_vm.setdefault(vm, Loan())
         lending = NO_LENDING
         if self._clock.monotonic() - loan.answered_at < LOAN_S:
-            lending = self._spare(workers)
+            lending = self._spare(vm, workers)
         last = loan.offered[-1] if loan.offered else NO_LENDING
         lending = msgspec.structs.replace(lending, number=last.number)
         if lending != last:
@@ -121,11 +132,12 @@
             loan.offered.append(last)
         return last
 
-    def _spare(self, workers: list[Worker]) -> Lending:
-        """Return what we can lend now, keeping a little for what may come."""
-        entries = self._entries()
+    def _spare(self, vm: str, workers: list[Worker]) -> Lending:
+        """Return what we can lend a peer now, keeping a little for what may come."""
         spare_by_worker = {
-            worker: self._spare_of(worker) for worker in workers if not self._demand(worker.vm.pool)
+            worker: self._spare_of(worker, vm)
+            for worker in workers
+            if not self._demand(worker.vm.pool)
         }
         per_worker: dict[str, int] = {}
         for worker, spare in spare_by_worker.items():
@@ -136,17 +148,28 @@
             for worker, spare in spare_by_worker.items()
             if spare < per_worker[worker.vm.pool]
         }
-        borrowers = [name for name in entries if name != self._vm]
         per_worker = {pool: spare for pool, spare in per_worker.items() if spare}
-        return Lending(per_worker_by_pool=per_worker, less_by_worker=less, borrowers=borrowers)
+        return Lending(per_worker_by_pool=per_worker, less_by_worker=less)
+
+    def _spare_of(self, worker: Worker, vm: str) -> int:
+        """Return the slots of a worker that we can lend one peer.
 
-    def _spare_of(self, worker: Worker) -> int:
+        Its part of what we do without, but no more than is left when the slots in use and
+        those that other peers may use are taken off. Their parts may date from an earlier
+        split, so it is not enough that the parts of this one add up.
+        """
         entries = self._entries()
-        own = part_of(
-            worker.slots, index=entries.index(self._vm), count=len(entries), worker=worker.name
+        own = self._own(worker)
+        borrowers = [name for name in entries if name != self._vm]
+        part = part_of(
+            own - own // HEADROOM_PARTS,
+            index=borrowers.index(vm),
+            count=len(borrowers),
+            worker=worker.name,
         )
+        lent = sum(self._lent(name, worker) for name in borrowers if name != vm)
         used = len(worker.placed_by_id) + worker.held
-        return max(0, own - max(used, own // HEADROOM_PARTS))
+        return max(0, min(part, own - used - lent))
 
     def note_use(self, vm: str, *, seen: int, used_by_worker: dict[str, int]) -> bool:
         """Note a borrower's answer; tell whether slots may have come back by it.
@@ -167,7 +190,13 @@
         known = self._credit_by_vm.get(vm)
         if known is not None and known.lending.number > lending.number > 0:
             return
-        self._credit_by_vm[vm] = Credit(lending=lending, heard_at=self._clock.monotonic())
+        now = self._clock.monotonic()
+        if known is None:
+            self._credit_by_vm[vm] = Credit(lending=lending, heard_at=now)
+            return
+        if lending != known.lending:
+            known.before, known.lending = known.lending, lending
+        known.heard_at = now
 
     def seen(self, vm: str) -> int:
         """Return the number of the latest lending that we had from a peer."""
@@ -175,29 +204,34 @@
         return credit.lending.number if credit is not None else 0
 
     def used_of(self, vm: str, workers: list[Worker]) -> dict[str, int]:
-        """Return the borrowed slots in use that are a peer's, by worker."""
-        lenders = [name for name in self._entries() if name != self._vm]
-        if vm not in lenders:
+        """Return the borrowed slots in use that may be a peer's, by worker.
+
+        With several lenders a slot may be told to more than one of them. That leaves a slot
+        idle for a moment; told to none, it would be used twice.
+        """
+        credit = self._credit_by_vm.get(vm)
+        if credit is None:
             return {}
-        index, count = lenders.index(vm), len(lenders)
-        used = {}
+        owed = {}
         for worker in workers:
             over = len(worker.placed_by_id) - self._kept(worker)
-            part = part_of(max(over, 0), index=index, count=count, worker=worker.name)
-            if part:
-                used[worker.name] = part
-        return used
+            owed[worker.name] = min(max(over, 0), credit.most(worker))
+        credit.owed_by_worker = {name: count for name, count in owed.items() if count}
+        return credit.owed_by_worker
 
     # -- parts ---------------------------------------------------------------------------
 
     def _kept(self, worker: Worker) -> int:
         """Return our own slots of a worker less those lent out."""
+        lent = sum(self._lent(vm, worker) for vm in self._entries() if vm != self._vm)
+        return self._own(worker) - lent
+
+    def _own(self, worker: Worker) -> int:
+        """Return the slots of a worker that belong to us."""
         entries = self._entries()
-        own = part_of(
+        return part_of(
             worker.slots, index=entries.index(self._vm), count=len(entries), worker=worker.name
         )
-        lent = sum(self._lent(vm, worker) for vm in entries if vm != self._vm)
-        return own - lent
 
     def _lent(self, vm: str, worker: Worker) -> int:
         loan = self._loan_by_vm.get(vm)
@@ -207,27 +241,19 @@
         if self._clock.monotonic() - loan.answered_at > 2 * LOAN_S:
             # A peer that has not answered for so long no longer acts on any offer.
             return 0
-        offered = [_part_for(vm, lending, worker) for lending in loan.offered]
+        offered = [_lent_by(lending, worker) for lending in loan.offered]
         return max([used, *offered])
 
     def _borrowed(self, worker: Worker) -> int:
         oldest = self._clock.monotonic() - LOAN_S
         return sum(
-            _part_for(self._vm, credit.lending, worker)
+            _lent_by(credit.lending, worker)
             for vm, credit in self._credit_by_vm.items()
             if credit.heard_at > oldest and vm in self._entries()
         )
 
 
-def _part_for(vm: str, lending: Lending, worker: Worker) -> int:
-    """Return the slots of a worker that a lending gives one borrower."""
+def _lent_by(lending: Lending, worker: Worker) -> int:
+    """Return the slots of a worker that a lending gives."""
     spare = lending.per_worker_by_pool.get(worker.vm.pool, 0)
-    spare -= lending.less_by_worker.get(worker.name, 0)
-    if spare <= 0 or vm not in lending.borrowers:
-        return 0
-    return part_of(
-        spare,
-        index=lending.borrowers.index(vm),
-        count=len(lending.borrowers),
-        worker=worker.name,
-    )
+    return max(0, spare - lending.less_by_worker.get(worker.name, 0))
