Close six more ways to a double start, found by the model and its faults

Ruled out: dropping the trust in first attempts (seven tests showed that a key sent right after a start would be answered unknown); a check of gaps in the loop for an entry that is alone (it can't see a replacement while cut off), so alone it needs the log.

Change: attaches and cancels name the owner's run; a statement that a key has never run counts only for less than a lease after its sending (sent_at), at arrival and at the home (stale); only open seats are acknowledged; contacts are forgotten when our seat is not open, and forgiven after a pause of our own; a handover counts against what is known when it arrives. The property test drives the real submissions, ownership and recovery over a network kept by hand.

One test of decisions got a step of the entry's own loop in its scenario: a process that runs is not to be taken for one that was paused.

Limits are in docs/design/ownership.md.

--- a/bench/driver.py
+++ b/bench/driver.py
@@ -19,6 +19,7 @@
 from bench.scenarios import Scenario
 from bench.workload import Arrival, make_arrivals
 from tests.cluster import Cluster, Process
+from zincwell.client import _has_not_run
 from zincwell.models import Answer, Outcome, decode_answer
 
 #: Hops between caller, entry and worker on loopback, as part of the ideal response time.
@@ -163,10 +164,11 @@
         while True:
             attempt += 1
             submission["attempt"], submission["never_run"] = attempt, never_run
+            submission["sent_at"] = time.time()
             left_s = due_at + DEADLINE_S - time.monotonic()
             submission["deadline_ms"] = max(1, round(left_s * 1000))
             answer = await self._post(self._urls[vm], submission, left_s)
-            never_run &= answer is not None and answer.outcome is Outcome.NOT_RUN
+            never_run &= _has_not_run(answer)
             pause_s = self._pause_s(sent, answer)
             if pause_s is None or time.monotonic() + pause_s > due_at + DEADLINE_S:
                 sent.answer = answer
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -289,11 +289,17 @@
     ) -> dict:
         """Send as the client does: attempts counted, retry-after honoured."""
         for number in range(attempt, attempt + 50):
-            sent = {**submission, "attempt": number, "never_run": never_run}
+            sent = {
+                **submission,
+                "attempt": number,
+                "never_run": never_run,
+                "sent_at": time.time(),
+            }
             _, answer = await self.submit(entry, sent)
             if answer["outcome"] == "completed" or "retry_after_ms" not in answer:
                 return answer
-            never_run = never_run and answer["outcome"] == "not_run"
+            has_not_run = answer["outcome"] == "not_run" or answer["reason"] == "stale"
+            never_run = never_run and has_not_run
             await asyncio.sleep(answer["retry_after_ms"] / 1000)
         raise AssertionError(f"told to come back for ever: {answer}")
 
--- a/tests/ownership_model.py
+++ b/tests/ownership_model.py
@@ -182,6 +182,13 @@
         )
 
 
+@dataclass(frozen=True)
+class PoolName:
+    """Takes the place of a pool, of which only the name is asked."""
+
+    name: str
+
+
 class Ledger:
     """Takes the place of the dispatch: notes each start and completes the job."""
 
@@ -191,8 +198,8 @@
         self._node = node
         self._on_start = on_start
 
-    def pool_of(self, service: str) -> str:
-        return self.document.services[service].pool
+    def pool_of(self, service: str) -> PoolName:
+        return PoolName(self.document.services[service].pool)
 
     def run(self, job: Job) -> None:
         if not self._node.is_dead:
@@ -204,8 +211,8 @@
 class OneClassAdmission:
     """Refuses one class of urgency and admits the rest."""
 
-    def check(self, *, urgency: str, **_: Any) -> Refusal | None:
-        if not urgency.startswith(REFUSED_CLASS):
+    def check(self, job: Job, **_: Any) -> Refusal | None:
+        if not job.urgency.startswith(REFUSED_CLASS):
             return None
         return Refusal(reason="overload", detail="", retry_after_ms=100)
 
--- a/tests/test_decisions_ownership.py
+++ b/tests/test_decisions_ownership.py
@@ -59,6 +59,7 @@
     system.network.cut.add(frozenset("ac"))
     for _ in range(15):
         system.stand_still(0.2)
+        system.keep_seat("a", True)
         for vm in "bc":
             system.read_log(vm)
         for one, other in ["ab", "ba", "bc", "cb"]:
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -10,7 +10,7 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from tests.test_ownership_property import ManualClock
+from tests.ownership_model import ManualClock
 from zincwell.core._messages import Lending
 from zincwell.core._shares import Shares, part_of
 from zincwell.ports import Vm
--- a/zincwell/client.py
+++ b/zincwell/client.py
@@ -188,6 +188,7 @@
                 submission,
                 attempt=attempt if is_new else None,
                 never_run=never_run,
+                sent_at=self._stated_time(),
                 deadline_ms=max(1, round(left_s * 1000)),
             )
             answer, was_sent = await self._try(message, left_s)
@@ -203,7 +204,11 @@
             await asyncio.sleep(pause_s)
             if was_sent:
                 attempt += 1
-                never_run &= answer is not None and answer.outcome is Outcome.NOT_RUN
+                never_run &= _has_not_run(answer)
+
+    def _stated_time(self) -> float | None:
+        """Return the entries' time now, as far as we know it."""
+        return None if self._clock is None else round(self._clock.now(), 3)
 
     async def _try(self, message: Submission, left_s: float) -> tuple[Answer | None, bool]:
         """Return the answer, if there is one, and whether anything may have been sent."""
@@ -293,6 +298,17 @@
     return Raw(msgspec.json.encode(payload))
 
 
+def _has_not_run(answer: Answer | None) -> bool:
+    """Tell whether an answer leaves it as it was that the key has never run.
+
+    ``stale`` says that the attempt came too late for the entry to rely on its statement; a
+    client that sends one attempt at a time knows that nothing came in between.
+    """
+    if answer is None:
+        return False
+    return answer.outcome is Outcome.NOT_RUN or answer.reason == "stale"
+
+
 def _pause_s(answer: Answer | None, tries: int) -> float | None:
     """Return how long to wait before asking again, or None if the answer is final."""
     if answer is None:
--- a/zincwell/core/_home.py
+++ b/zincwell/core/_home.py
@@ -15,6 +15,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from zincwell.core._follow import NEVER
 from zincwell.core._membership import Membership, Seat, domain_of_key, home_of_key
 from zincwell.core._messages import (
     Claim,
@@ -31,6 +32,7 @@
 NOT_READY_MS = 200
 ABRUPT_LEASES = 2
 LEAVER_S = 2.0
+STALE_RETRY_MS = 50
 
 
 @dataclass
@@ -80,6 +82,7 @@
         self._awaited: set[str] = set()
         self._leavers: list[Seat] = []
         self._leavers_until = 0.0
+        self._not_before = NEVER
         membership.on_change.append(self._note_change)
 
     @property
@@ -177,16 +180,28 @@
 
     def _claim_new(self, asker: Seat, claim: Claim) -> ClaimReply:
         home_since, grants_from = self._home_since(claim.key)
-        wait_s = grants_from - self._clock.monotonic()
+        wait_s = max(grants_from, self._not_before) - self._clock.monotonic()
         if wait_s > 0:
             return _not_ready("taking_over", round(wait_s * 1000) + NOT_READY_MS)
         fresh = claim.created_at > home_since + self._timing.clock_margin_s
-        if claim.never_run or fresh:
+        if fresh or self._is_surely_first(claim):
             return self._decide_new(asker, claim)
+        if claim.never_run:
+            return ClaimReply(kind=ClaimKind.STALE, reason="stale", retry_after_ms=STALE_RETRY_MS)
         if self._awaited:
             return _not_ready("recovering")
         return ClaimReply(kind=ClaimKind.UNKNOWN, reason="home_changed")
 
+    def _is_surely_first(self, claim: Claim) -> bool:
+        """Tell whether an attempt that calls itself first came too early to be overtaken.
+
+        Held up on its way, it may have been overtaken by a later attempt that an earlier home
+        granted. From the last grant of that home until our first one lease goes by, so an
+        attempt that was sent less than a lease ago was sent after it.
+        """
+        longest_s = self._timing.seat_lease_s - self._timing.clock_margin_s
+        return claim.never_run and self._clock.wall() - claim.sent_at < longest_s
+
     def _decide_new(self, asker: Seat, claim: Claim) -> ClaimReply:
         if claim.intent is Intent.REFUSE:
             self._note_refused(claim)
@@ -220,6 +235,8 @@
             return
         now = self._clock.monotonic()
         if abrupt:
+            if not self._keeper.has_joined():
+                self._not_before = now + ABRUPT_LEASES * self._timing.seat_lease_s
             # The holder of a seat that others closed may grant until its lease lapses, and
             # its grant may be taken up one lease later.
             now += ABRUPT_LEASES * self._timing.seat_lease_s
@@ -250,10 +267,11 @@
                 continue
             if ours is None:
                 break
-            return ours.floor_by_seat.get(home.id, ours.since), ours.grants_from
+            since = max(ours.since, self._keeper.joined_at)
+            return ours.floor_by_seat.get(home.id, since), ours.grants_from
         if ours is None:
             return self._clock.wall(), 0.0
-        return ours.since, ours.grants_from
+        return max(ours.since, self._keeper.joined_at), ours.grants_from
 
 
 def _granted(owned: OwnedKey) -> ClaimReply:
--- a/zincwell/core/_messages.py
+++ b/zincwell/core/_messages.py
@@ -84,6 +84,7 @@
         run; the home then grants it to no earlier attempt, which would make that untrue.
     :param attempt: number of the caller's attempt; 0 if the caller does not count.
     :param never_run: the caller states that no earlier attempt can have run.
+    :param sent_at: when the caller sent this attempt, in seconds since 1970.
     :param disown: serial of a grant whose owner has said that it never started.
     """
 
@@ -91,6 +92,7 @@
     created_at: float
     attempt: int = 0
     never_run: bool = False
+    sent_at: float = 0.0
     intent: Intent = Intent.OWN
     disown: int = 0
 
@@ -105,6 +107,7 @@
     UNKNOWN = "unknown"
     ABSENT = "absent"
     SUPERSEDED = "superseded"
+    STALE = "stale"
 
 
 class ClaimReply(Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -159,10 +162,12 @@
 class AttachCall(Struct, frozen=True, kw_only=True):
     """Ask the owner of a key for its answer, waiting up to ``wait_s`` seconds.
 
+    :param owner: seat that the home named; a later run of the same VM knows nothing of it.
     :param digest: of the submission that the asker has; 0 if it has only the key.
     """
 
     key: str
+    owner: str
     serial: int
     wait_s: float
     digest: int = 0
@@ -175,6 +180,7 @@
     PENDING = "pending"
     NEVER_STARTED = "never_started"
     REUSED = "reused"
+    OTHER_RUN = "other_run"
 
 
 class AttachReply(Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -188,3 +194,4 @@
     """Ask the owner of a key to cancel its job."""
 
     key: str
+    owner: str
--- a/zincwell/core/_seat.py
+++ b/zincwell/core/_seat.py
@@ -40,7 +40,10 @@
 
 
 class SeatKeeper:
-    """Keeps the seat of this entry and tells whether it may grant claims now."""
+    """Keeps the seat of this entry and tells whether it may grant claims now.
+
+    :ivar joined_at: wall clock when all other seats of the domain knew of ours.
+    """
 
     def __init__(
         self,
@@ -61,6 +64,8 @@
         self._timing = timing
         self._closing_by_id: dict[str, int] = {}
         self._joined = False
+        self._stepped_at = clock.monotonic()
+        self.joined_at = NEVER
         self.leaving = False
 
     @property
@@ -83,12 +88,14 @@
         The times compared are those of real contact, so after a pause of this process they
         are old and the answer is no, until there has been new contact.
         """
-        if not self.is_open or not self._has_joined():
+        if not self.is_open or not self.has_joined():
             return False
         oldest = self._clock.monotonic() - self._timing.seat_lease_s
         if self._follower.contact_at > oldest:
             return True
-        return all(self._contact(seat).acked_at > oldest for seat in self.others())
+        others = self.others()
+        # Alone, only the log can tell us that we have been replaced.
+        return bool(others) and all(self._contact(seat).acked_at > oldest for seat in others)
 
     def has_log(self) -> bool:
         """Tell whether the log has answered within the seat's lease."""
@@ -145,11 +152,14 @@
 
         A peer whose end is decided is not acknowledged from here on.
         """
+        self._forgive_after_pause()
         if not self.has_log():
             return []
         if not self.is_open:
             self._joined = False
+            self.contact_by_vm.clear()
             return [] if self.leaving else [_opening(self.seat)]
+        self.has_joined()
         silent = [seat for seat in self.others() if self._is_silent(seat)]
         for seat in silent:
             if self._closing_by_id.get(seat.id) != seat.opened:
@@ -162,6 +172,18 @@
             await self._append(record)
             log.info("seat_record", extra={"record": record})
 
+    def _forgive_after_pause(self) -> None:
+        """Give the peers the whole silence anew after a pause of our own.
+
+        What they sent meanwhile waits in our sockets; counted as silence, it would make us
+        close the seats of healthy peers on waking.
+        """
+        now = self._clock.monotonic()
+        if now - self._stepped_at > self._timing.seat_lease_s:
+            for contact in self.contact_by_vm.values():
+                contact.heard_at = now
+        self._stepped_at = now
+
     def _is_silent(self, seat: Seat) -> bool:
         silent_s = self._clock.monotonic() - self._contact(seat).heard_at
         return silent_s > self._timing.peer_silence_s
@@ -178,14 +200,16 @@
                 return
             await asyncio.sleep(self._timing.heartbeat_s / 5)
 
-    def _has_joined(self) -> bool:
+    def has_joined(self) -> bool:
         """Tell whether every other open seat of the domain knows that ours is open.
 
         Until then one of them may still take itself for the home of our keys.
         """
-        if not self._joined:
+        if not self._joined and self.is_open:
             opened = self.membership.seats_by_vm[self.seat.vm].opened
             self._joined = all(self._contact(seat).epoch > opened for seat in self.others())
+            if self._joined:
+                self.joined_at = self._clock.wall()
         return self._joined
 
     def _contact(self, seat: Seat) -> PeerContact:
--- a/zincwell/core/_submissions.py
+++ b/zincwell/core/_submissions.py
@@ -90,6 +90,8 @@
         early = self._check_age(submission)
         if early is not None:
             return Err(early)
+        never_run = self._can_never_have_run(submission)
+        submission = msgspec.structs.replace(submission, never_run=never_run)
         key = full_key(key=submission.key, tenant=submission.tenant)
         job = self._book.jobs_by_key.get(key)
         if job is not None:
@@ -112,7 +114,7 @@
             tasks=[spec],
             urgency=request.urgency,
             deadline_ms=request.deadline_ms,
-            attempt=1,
+            never_run=True,
         )
         key = full_key(key=submission.key, tenant=request.tenant)
         admitted = self._admit(key, submission)
@@ -154,18 +156,22 @@
             found = await self._peers.call(
                 url=reply.owner.url,
                 path="/peer/cancel",
-                message=CancelCall(key=name),
+                message=CancelCall(key=name, owner=reply.owner.id),
                 reply=AttachReply,
                 timeout_s=ATTACH_TIMEOUT_S,
             )
         except PeerUnavailableError:
             return _unknown(key, "owner_unreachable", OWNER_RETRY_MS)
+        if found.kind is AttachKind.OTHER_RUN:
+            return _unknown(key, "owner_lost", None)
         return _answer_of(found)
 
     # -- peers ---------------------------------------------------------------------------
 
     async def attach(self, call: AttachCall) -> AttachReply:
         """Answer a peer that was told we own a key."""
+        if call.owner != self._seat.id:
+            return AttachReply(kind=AttachKind.OTHER_RUN)
         claiming = self._claiming_by_key.get(call.key)
         if claiming is not None:
             await asyncio.wait([claiming], timeout=call.wait_s)
@@ -184,6 +190,8 @@
 
     def cancel_owned(self, call: CancelCall) -> AttachReply:
         """Cancel a job that we own for a peer."""
+        if call.owner != self._seat.id:
+            return AttachReply(kind=AttachKind.OTHER_RUN)
         job = self._book.jobs_by_key.get(call.key)
         if job is None:
             return AttachReply(kind=AttachKind.NEVER_STARTED)
@@ -223,13 +231,14 @@
 
     async def _claim(self, key: str, submission: Submission) -> Result:
         admitted = self._admit(key, submission)
-        if isinstance(admitted, Err) and submission.cannot_have_run:
+        if isinstance(admitted, Err) and submission.never_run:
             return admitted
         claim = Claim(
             key=key,
             created_at=submission.created_at,
             attempt=submission.attempt or 0,
-            never_run=submission.cannot_have_run,
+            never_run=submission.never_run,
+            sent_at=submission.sent_at or submission.created_at,
             intent=Intent.REFUSE if isinstance(admitted, Err) else Intent.OWN,
             disown=self._book.closed_serial(key),
         )
@@ -250,7 +259,7 @@
 
         Only a caller none of whose attempts can have run is told that it has not run.
         """
-        if submission.cannot_have_run:
+        if submission.never_run and reply.kind not in (ClaimKind.UNKNOWN, ClaimKind.STALE):
             return _not_run(submission.key, reply.reason, reply.retry_after_ms)
         return _unknown(submission.key, reply.reason, reply.retry_after_ms)
 
@@ -310,6 +319,18 @@
             return Err(_reused(submission.key))
         return Ok(job.answer)
 
+    def _can_never_have_run(self, submission: Submission) -> bool:
+        """Tell whether an attempt states that the key has never run, and came in good time.
+
+        One that was held up on its way may have been overtaken by a later attempt, which has
+        run since: told "not run" then, the caller would be told an untruth.
+        """
+        if not submission.never_run and submission.attempt != 1:
+            return False
+        sent_at = submission.sent_at or submission.created_at
+        longest_s = self._timing.seat_lease_s - self._timing.clock_margin_s
+        return self._clock.wall() - sent_at < longest_s
+
     def _check_age(self, submission: Submission) -> Answer | None:
         """Refuse a key made in the future, or so long ago that it may have been forgotten."""
         now = self._clock.wall()
@@ -329,7 +350,9 @@
         """Wait for the answer of another owner, on a new call each second."""
         owner = owned.owner
         digest = digest_of(submission)
-        call = AttachCall(key=key, serial=owned.serial, wait_s=ATTACH_WAIT_S, digest=digest)
+        call = AttachCall(
+            key=key, owner=owner.id, serial=owned.serial, wait_s=ATTACH_WAIT_S, digest=digest
+        )
         lost_at = None
         while True:
             try:
@@ -347,6 +370,8 @@
                 return _answer_of(reply)
             if reply.kind is AttachKind.NEVER_STARTED:
                 return await self._claim_disowned(key, owned.serial, submission)
+            if reply.kind is AttachKind.OTHER_RUN:
+                return _unknown(submission.key, "owner_lost", None)
             if reply.kind is AttachKind.REUSED:
                 return _reused(submission.key)
 
@@ -372,10 +397,12 @@
 
     async def _attach_once(self, key: str, reply: ClaimReply) -> Answer | None:
         try:
-            call = AttachCall(key=key, serial=reply.serial, wait_s=0.0)
+            call = AttachCall(key=key, owner=reply.owner.id, serial=reply.serial, wait_s=0.0)
             found = await self._attach(reply.owner, call)
         except PeerUnavailableError:
             return self._owner_lost(key.rpartition("@")[0], reply.owner)
+        if found.kind is AttachKind.OTHER_RUN:
+            return _unknown(key.rpartition("@")[0], "owner_lost", None)
         return _answer_of(found)
 
 
--- a/zincwell/entry.py
+++ b/zincwell/entry.py
@@ -446,7 +446,6 @@
             await asyncio.sleep(HANDOVER_PERIOD_S)
 
     async def _recover_from(self, seat: Seat) -> None:
-        epoch = self.membership.next_offset
         try:
             reply = await self.peers.call(
                 url=seat.url,
@@ -458,8 +457,9 @@
         except PeerUnavailableError as error:
             log.info("handover_unreachable", extra={"from": seat.id, "error": error})
             return
-        # One that is behind may still grant keys that have become ours.
-        if reply.epoch >= epoch and reply.seat.id == seat.id:
+        # One that is behind may still grant keys that have become ours. What counts is what
+        # we know now, as a further change may have come while the answer was on its way.
+        if reply.epoch >= self.membership.next_offset and reply.seat.id == seat.id:
             self.home.take_over(reply)
 
     async def _forget(self) -> None:
--- a/zincwell/models.py
+++ b/zincwell/models.py
@@ -52,6 +52,9 @@
     :param attempt: number of the attempt, from 1; left out where the caller does not count.
     :param never_run: every earlier attempt with the key was answered ``not_run``, or there was
         none. An attempt that was not answered at all may have run.
+    :param sent_at: when this attempt was sent, by the same clock as ``created_at``, which
+        counts if it is left out. A caller that has sent a later attempt no longer goes by the
+        answer to this one.
     :param urgency: class by which admission and metrics tell jobs apart.
     :param deadline_ms: milliseconds from arrival until the caller has no more use for it.
     """
@@ -65,11 +68,7 @@
     deadline_ms: DeadlineMs = DEFAULT_DEADLINE_MS
     attempt: Annotated[int, Meta(ge=1)] | None = None
     never_run: bool = False
-
-    @property
-    def cannot_have_run(self) -> bool:
-        """Whether, by what the caller states, no earlier attempt can have run."""
-        return self.never_run or self.attempt == 1
+    sent_at: Annotated[float, Meta(gt=0)] | None = None
 
 
 class Request(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
