Let a full domain's queued tasks run on idle slots of another

Cause: an entry places tasks on its own domain's workers only, so a burst in one domain waits while those of the others idle.

Change: an entry of another domain serves the worker protocol below /spill on its listener for peers and is to the owner one more worker, with its lease, fence and watch. It promises slots that are idle, takes none while tasks of its own wait, and passes none on. Leases are asked of a few entries at random, only while tasks have waited. The holding of a failed task's slot moves from the dispatcher to the worker, which it is about.

The ledger's count of starts by task now also finds a task under the id that it has in another domain; before, a start there would have counted as another task.

--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -25,6 +25,16 @@
 POLL_S = 0.02
 
 
+def task_name(start_id: str) -> str:
+    """Return the task that a start is of, ``key#index``, in whichever domain it ran.
+
+    A task that was spilled has its owner's id as the key of its start there, as in
+    ``key#3.1#0.1``, so the name ends at the first full stop after the first ``#``.
+    """
+    key, _, rest = start_id.partition("#")
+    return f"{key}#{rest.partition('.')[0]}"
+
+
 @dataclass(kw_only=True)
 class Process:
     """One process and what it said of its addresses."""
@@ -310,7 +320,7 @@
 
     async def starts_by_task(self) -> dict[str, int]:
         """Return the number of starts by task, whatever the placement."""
-        names = (start["id"].rpartition(".")[0] for start in await self.ledger())
+        names = (task_name(start["id"]) for start in await self.ledger())
         return dict(collections.Counter(names))
 
     async def wait_started(self, count: int) -> None:
--- a/tests/session.py
+++ b/tests/session.py
@@ -6,6 +6,8 @@
 import re
 from typing import Any
 
+from tests.cluster import task_name
+
 UUID = re.compile(r"\b[0-9a-f]{32}\b")
 MASKED_FIELDS = {"created_at", "at"}
 
@@ -27,7 +29,7 @@
 
     def ledger(self, starts: list[dict]) -> None:
         """Note the starts; which worker and in which order differs from run to run."""
-        names = sorted(_text(start["id"].rpartition(".")[0]) for start in starts)
+        names = sorted(_text(task_name(start["id"])) for start in starts)
         self._lines.append(f"-- {len(names)} starts at the workers")
         self._lines += [f"started {name}" for name in names]
 
--- a/zincwell/adapters/_peer.py
+++ b/zincwell/adapters/_peer.py
@@ -11,6 +11,11 @@
 KEY_HEADER = "X-Zincwell-Key"
 
 
+def key_headers(key: str) -> dict[str, str]:
+    """Return the headers that prove the shared key; none for an empty key."""
+    return {KEY_HEADER: key} if key else {}
+
+
 class HttpPeerTransport(PeerTransport):
     """Peers reached by POST at their listener for peers.
 
@@ -19,7 +24,7 @@
 
     def __init__(self, *, session: aiohttp.ClientSession, key: str):
         self._session = session
-        self._headers = {KEY_HEADER: key} if key else {}
+        self._headers = key_headers(key)
 
     async def call(self, *, url: str, path: str, body: bytes, timeout_s: float) -> bytes:
         """Send one message and return the answer."""
--- a/zincwell/adapters/_worker.py
+++ b/zincwell/adapters/_worker.py
@@ -24,6 +24,7 @@
         EventKind.FAILED,
         EventKind.STOPPED,
         EventKind.FENCED,
+        EventKind.LOST,
     }
 )
 BROKEN_STREAM_ERRORS = (*NETWORK_ERRORS, msgspec.MsgspecError, ValueError)
@@ -63,6 +64,7 @@
     :param accept_silence_s: silence allowed before the first event of a stream.
     :param stream_silence_s: silence allowed later; workers send a beat well within it.
     :param local_address: address that connections come from; any if not given.
+    :param headers: sent with each call.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         accept_silence_s: float,
         stream_silence_s: float,
         local_address: tuple[str, int] | None = None,
+        headers: dict[str, str] | None = None,
     ):
         self._url = url.rstrip("/")
         self._accept_silence_s = accept_silence_s
@@ -79,11 +82,12 @@
         self._session = _open_session(
             aiohttp.TCPConnector(
                 limit=0, keepalive_timeout=IDLE_CONNECTION_S, local_addr=local_address
-            )
+            ),
+            headers,
         )
         # What tells a silent connection from a silent worker has to be a new connection.
         self._fresh_session = _open_session(
-            aiohttp.TCPConnector(limit=0, force_close=True, local_addr=local_address)
+            aiohttp.TCPConnector(limit=0, force_close=True, local_addr=local_address), headers
         )
 
     async def lease(self, *, entry: str, ttl_s: float) -> WorkerLease:
@@ -175,8 +179,10 @@
         open_ids.discard(event.id)
 
 
-def _open_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(connector=connector, read_bufsize=MAX_LINE_BYTES)
+def _open_session(
+    connector: aiohttp.TCPConnector, headers: dict[str, str] | None
+) -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(connector=connector, read_bufsize=MAX_LINE_BYTES, headers=headers)
 
 
 def _decode(raw: bytes, type_):
--- a/zincwell/core/_dispatch.py
+++ b/zincwell/core/_dispatch.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from zincwell.core._jobs import Job, Task, TaskState, make_answer
+from zincwell.core._jobs import GUEST_TENANT, Job, Task, TaskState, make_answer
 from zincwell.core._ordering import Queue, make_queue
 from zincwell.core._pool import Pool
 from zincwell.core._quotas import Neighbours, Quotas
@@ -22,6 +22,7 @@
 
 RETRY_MS = 500
 STOP_PERIOD_S = 0.1
+GUEST_WEIGHT = 0.1
 
 log = logging.getLogger("zincwell.dispatch")
 
@@ -148,7 +149,7 @@
         while True:
             await asyncio.sleep(STOP_PERIOD_S)
             for pool in self.pool_by_name.values():
-                for worker in list(pool.worker_by_name.values()):
+                for worker in pool.all_workers():
                     for task in list(worker.placed_by_id.values()):
                         self._stop_if_too_long(task)
 
@@ -177,6 +178,8 @@
         if event.kind in (EventKind.ACCEPTED, EventKind.RUNNING):
             task.started = task.started or event.kind is EventKind.ACCEPTED
             task.started_at = task.started_at or self._clock.monotonic()
+            if task.started and task.job.on_accepted is not None:
+                task.job.on_accepted(task)
             return
         self.quotas.note_end(task.job.tenant)
         if task.state is TaskState.FINAL:
@@ -188,6 +191,8 @@
             self._fail(pool, task, worker, event)
         elif event.kind is EventKind.STOPPED:
             self._end(task, Outcome.OUTCOME_UNKNOWN, "stopped")
+        elif event.kind is EventKind.LOST:
+            self._lose(pool, task)
         else:
             self._observe_waste(f"{event.kind}_{event.reason}".replace(" ", "_"))
             self._place_again(pool, task, event.reason)
@@ -205,7 +210,8 @@
     def _fail(self, pool: Pool, task: Task, worker: Worker | None, event: WorkerEvent) -> None:
         if worker is not None:
             worker.health.note_failure(now=self._clock.monotonic())
-            self._hold_slot(pool, task, worker)
+            left_s = task.started_at + self.run_times.expected_s(task.job.service)
+            worker.hold_slot(left_s - self._clock.monotonic())
             if pool.judge(worker):
                 log.warning("worker_ejected", extra={"worker": worker.name, "pool": pool.name})
         if not self._retry(pool, task, event.reason):
@@ -224,24 +230,6 @@
         self._place_again(pool, task, reason)
         return True
 
-    def _hold_slot(self, pool: Pool, task: Task, worker: Worker) -> None:
-        """Keep the slot of a fast failure for as long as a run usually takes.
-
-        Otherwise a worker that fails all at once always has most room and draws the whole
-        queue: one would notice one worker's ledger holding nearly all failed tasks.
-        """
-        left_s = task.started_at + self.run_times.expected_s(task.job.service)
-        left_s -= self._clock.monotonic()
-        if left_s <= 0:
-            return
-        worker.held += 1
-
-        def release() -> None:
-            worker.held -= 1
-            pool.wake()
-
-        asyncio.get_running_loop().call_later(left_s, release)
-
     def _place_again(self, pool: Pool, task: Task, reason: str) -> None:
         """Queue a task again that has provably not run."""
         task.started = False
@@ -265,8 +253,11 @@
             log.warning("task_lost", extra={"task": task.id, "worker": task.worker})
             pool = self.pool_by_name[task.job.pool]
             self.quotas.note_end(task.job.tenant)
-            if task.state is TaskState.FINAL or self._retry(pool, task, "worker_lost"):
-                continue
+            if task.state is not TaskState.FINAL:
+                self._lose(pool, task)
+
+    def _lose(self, pool: Pool, task: Task) -> None:
+        if not self._retry(pool, task, "worker_lost"):
             self._end(task, Outcome.OUTCOME_UNKNOWN, "worker_lost")
 
     # -- answers -------------------------------------------------------------------------
@@ -305,7 +296,7 @@
             if task.state is TaskState.PLACED:
                 placed_by_worker.setdefault(task.worker, []).append(task)
         for name, tasks in placed_by_worker.items():
-            worker = pool.worker_by_name.get(name)
+            worker = pool.find_worker(name)
             if worker is not None:
                 self._run_aside(worker.stop(tasks))
 
@@ -346,18 +337,24 @@
             may_start=self.quotas.may_start,
         )
 
-    def _add_worker(self, pool: Pool, vm: Vm) -> None:
-        worker = Worker(
+    def make_worker(
+        self, pool: Pool, vm: Vm, *, transport: WorkerTransport, timing: TimingSettings
+    ) -> Worker:
+        """Make a worker whose tasks are ours."""
+        return Worker(
             vm=vm,
             entry=self._entry,
-            transport=self._open_worker(vm),
+            transport=transport,
             clock=self._clock,
-            timing=self._timing,
+            timing=timing,
             on_event=self._on_event,
             on_lost=self._on_lost,
             on_unsent=self._on_unsent,
             on_change=pool.wake,
         )
+
+    def _add_worker(self, pool: Pool, vm: Vm) -> None:
+        worker = self.make_worker(pool, vm, transport=self._open_worker(vm), timing=self._timing)
         pool.worker_by_name[vm.vm] = worker
         self._lane_by_worker[vm.vm] = asyncio.create_task(worker.run())
         log.info("worker_added", extra={"worker": vm.vm, "pool": pool.name})
@@ -374,6 +371,8 @@
         return rules.max_running if rules is not None else 0
 
     def _weight(self, tenant: str, urgency: str) -> float:
+        if tenant == GUEST_TENANT:
+            return GUEST_WEIGHT
         weight = 1.0
         if tenant in self.document.tenants:
             weight *= self.document.tenants[tenant].weight
--- a/zincwell/core/_jobs.py
+++ b/zincwell/core/_jobs.py
@@ -5,6 +5,7 @@
 import asyncio
 import enum
 from collections import OrderedDict, deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import msgspec
@@ -15,6 +16,9 @@
 from zincwell.ports import Clock
 from zincwell.settings import MemorySettings, TimingSettings
 
+#: Tenant of tasks that run here for entries of other domains; no caller can name it.
+GUEST_TENANT = "~guests"
+
 
 class TaskState(enum.Enum):
     """Where a task is."""
@@ -60,6 +64,7 @@
     :ivar waiting: tasks that have no worker now.
     :ivar unfinished: number of tasks that are not final.
     :ivar retries_left: further starts allowed to an idempotent request.
+    :ivar on_accepted: called with each task that a worker has accepted.
     """
 
     key: str
@@ -76,6 +81,7 @@
     tasks: list[Task] = field(default_factory=list)
     waiting: deque[Task] = field(default_factory=deque)
     unfinished: int = 0
+    on_accepted: Callable[[Task], None] | None = None
     answer: asyncio.Future[Answer] = field(
         default_factory=lambda: asyncio.get_running_loop().create_future()
     )
--- a/zincwell/core/_pool.py
+++ b/zincwell/core/_pool.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from zincwell.core._health import may_eject_more, should_eject
-from zincwell.core._jobs import Task
+from zincwell.core._jobs import GUEST_TENANT, Task
 from zincwell.core._ordering import Queue
 from zincwell.core._quotas import Quotas
 from zincwell.core._retries import RetryBudget
@@ -18,6 +18,7 @@
 from zincwell.ports import Clock
 
 DELAY_WINDOW = 64
+SPILL_AFTER_S = 0.03
 
 
 class Pool:
@@ -45,6 +46,8 @@
         self.rules = rules
         self.queue = queue
         self.worker_by_name: dict[str, Worker] = {}
+        self.lender_by_name: dict[str, Worker] = {}
+        self._full_since: float | None = None
         self._shares = shares
         self._clock = clock
         self._random = random.Random(seed)
@@ -67,8 +70,25 @@
         ]
 
     def slots(self) -> int:
-        """Return the slots of all usable workers."""
-        return sum(worker.slots for worker in self.usable_workers())
+        """Return the slots of all usable workers, and those that other domains lend us."""
+        lenders = [worker for worker in self.lender_by_name.values() if worker.is_usable()]
+        return sum(worker.slots for worker in [*self.usable_workers(), *lenders])
+
+    def room(self) -> int:
+        """Return the free slots of our own domain that this entry may use."""
+        return sum(self._rooms().values())
+
+    def capacity(self) -> int:
+        """Return the slots of our own domain, free or not, that this entry may use."""
+        return sum(self._shares.allowed(worker) for worker in self.usable_workers())
+
+    def all_workers(self) -> list[Worker]:
+        """Return the workers of our domain and the lenders of others."""
+        return [*self.worker_by_name.values(), *self.lender_by_name.values()]
+
+    def find_worker(self, name: str) -> Worker | None:
+        """Return a worker or a lender by name."""
+        return self.worker_by_name.get(name) or self.lender_by_name.get(name)
 
     def largest_memory_mb(self) -> int:
         """Return the memory of the largest worker, in MB."""
@@ -92,7 +112,47 @@
     def _pump(self) -> None:
         self._pump_is_due = False
         rooms = self._rooms()
-        batch_by_worker: dict[str, list[Task]] = {}
+        self._fill(rooms)
+        self._note_fullness(is_full=self.queue.size > 0 and not rooms)
+        if self.wants_to_spill():
+            self._fill(self.lender_rooms())
+        if self.queue.size:
+            self._on_starved()
+
+    def wants_to_spill(self) -> bool:
+        """Tell whether tasks have waited long enough to be run in another domain.
+
+        Guests are not passed on: a chain of entries would stand between a task and its owner,
+        each link of which can break.
+        """
+        if not self.rules.spill or self._full_since is None:
+            return False
+        if self.queue.size_by_tenant.get(GUEST_TENANT):
+            return False
+        return self._clock.monotonic() - self._full_since >= SPILL_AFTER_S
+
+    def lender_rooms(self) -> dict[Worker, int]:
+        """Return the free slots that entries of other domains have promised us."""
+        rooms = {
+            worker: worker.slots - len(worker.placed_by_id)
+            for worker in self.lender_by_name.values()
+            if worker.is_usable() and not worker.is_backing_off()
+        }
+        return {worker: room for worker, room in rooms.items() if room > 0}
+
+    def _note_fullness(self, *, is_full: bool) -> None:
+        """Note since when tasks have waited for slots without a break."""
+        if not is_full:
+            self._full_since = None
+        elif self._full_since is None:
+            self._full_since = self._clock.monotonic()
+
+    def _fill(self, rooms: dict[Worker, int]) -> None:
+        """Place queued tasks in the rooms given, each worker's in one message.
+
+        :param rooms: free slots; what is left of them afterwards stays in it.
+        """
+        batch_by_worker: dict[Worker, list[Task]] = {}
         while rooms:
             task = self.queue.pop()
             if task is None:
@@ -100,14 +160,12 @@
             worker = self._choose(rooms)
             self.quotas.note_start(task.job.tenant)
             self._delays.append(self._clock.monotonic() - task.queued_at)
-            batch_by_worker.setdefault(worker.name, []).append(task)
+            batch_by_worker.setdefault(worker, []).append(task)
             rooms[worker] -= 1
             if rooms[worker] <= 0:
                 del rooms[worker]
-        for name, tasks in batch_by_worker.items():
-            self.worker_by_name[name].place(tasks)
-        if self.queue.size:
-            self._on_starved()
+        for worker, tasks in batch_by_worker.items():
+            worker.place(tasks)
 
     def _rooms(self) -> dict[Worker, int]:
         """Return the free slots that this entry may use, by worker."""
--- a/zincwell/core/_worker.py
+++ b/zincwell/core/_worker.py
@@ -117,6 +117,24 @@
         self._streams.add(stream)
         stream.add_done_callback(self._streams.discard)
 
+    def hold_slot(self, left_s: float) -> None:
+        """Keep the slot of a fast failure for as long as a run usually takes.
+
+        Otherwise a worker that fails all at once always has most room and draws the whole
+        queue: one would notice one worker's ledger holding nearly all failed tasks.
+
+        :param left_s: what is left of a usual run in seconds; nothing is kept below 0.
+        """
+        if left_s <= 0:
+            return
+        self.held += 1
+
+        def release() -> None:
+            self.held -= 1
+            self._on_change()
+
+        asyncio.get_running_loop().call_later(left_s, release)
+
     async def stop(self, tasks: list[Task]) -> None:
         """Stop tasks by one message; what is missed by it ends by itself."""
         ids = [task.id for task in tasks]
--- a/zincwell/entry.py
+++ b/zincwell/entry.py
@@ -17,11 +17,13 @@
     HttpWorkerTransport,
     SystemClock,
 )
+from zincwell.adapters._peer import key_headers
 from zincwell.core._admission import Admission
 from zincwell.core._configuration import Configuration
 from zincwell.core._directory import DirectoryWatcher
 from zincwell.core._dispatch import Dispatcher
 from zincwell.core._follow import Follower
+from zincwell.core._guests import Guests
 from zincwell.core._home import Home
 from zincwell.core._jobs import JobBook, Task
 from zincwell.core._membership import Membership, Seat
@@ -33,6 +35,7 @@
 from zincwell.core._seat import SeatKeeper
 from zincwell.core._shares import Shares
 from zincwell.core._snapshots import SnapshotWriter
+from zincwell.core._spill import Spill
 from zincwell.core._submissions import Submissions
 from zincwell.exceptions import LogUnavailableError, PeerUnavailableError, SettingsError
 from zincwell.listeners import CallersListener, OperatorsListener, PeersListener
@@ -139,6 +142,7 @@
                 self.watcher.run(),
                 self.snapshots.run(),
                 self.dispatcher.run_stop_rules(),
+                self.spill.run(),
                 self._recover_keys(),
                 self._forget(),
             )
@@ -161,6 +165,7 @@
         await asyncio.sleep(self.settings.timing.drain_notice_s)
         await self.callers.close()
         await self._hand_over_seat()
+        await self.guests.drain()
         await self.close()
         log.info("drain_ends", extra={"vm": self.settings.vm})
 
@@ -172,6 +177,7 @@
         """Stop at once."""
         for task in self._tasks:
             task.cancel()
+        await self.spill.close()
         await self.dispatcher.close()
         for listener in (self.callers, self.peers_listener, self.operators):
             await listener.close()
@@ -320,9 +326,25 @@
             shares=self.shares,
             neighbours=self._neighbours,
             open_worker=self._open_worker,
-            on_starved=lambda: self.heartbeats.beat_now(),
+            on_starved=self._note_starved,
             observe=self._observe_task,
-            observe_waste=lambda kind: self.metrics.count("wasted", kind=kind),
+            observe_waste=self._observe_waste,
+        )
+        self.guests = Guests(
+            dispatcher=self.dispatcher,
+            clock=clock,
+            timing=timing,
+            is_draining=lambda: self.is_draining,
+            observe_waste=self._observe_waste,
+        )
+        self.spill = Spill(
+            dispatcher=self.dispatcher,
+            membership=self.membership,
+            domain=settings.domain,
+            clock=clock,
+            timing=timing,
+            open_lender=lambda seat, pool: self._open_lender(seat, pool, peer_key),
+            seed=self.seat.id,
         )
         self.configuration.on_change.append(self.dispatcher.configure)
         self.watcher = DirectoryWatcher(
@@ -388,6 +410,20 @@
             local_address=self._local_address(),
         )
 
+    def _open_lender(self, seat: Seat, pool: str, peer_key: str) -> HttpWorkerTransport:
+        timing = self.settings.timing
+        return HttpWorkerTransport(
+            url=f"{seat.url}/spill/{seat.incarnation}/{pool}",
+            accept_silence_s=timing.accept_silence_s,
+            stream_silence_s=timing.stream_silence_s,
+            local_address=self._local_address(),
+            headers=key_headers(peer_key),
+        )
+
+    def _note_starved(self) -> None:
+        self.heartbeats.beat_now()
+        self.spill.note_starved()
+
     def _domains(self) -> list[str]:
         document = self.configuration.document
         return document.domains if document is not None else [self.settings.domain]
@@ -433,6 +469,9 @@
         if job.unfinished == 0:
             self.metrics.observe("response", now - job.arrived_at, **labels)
 
+    def _observe_waste(self, kind: str) -> None:
+        self.metrics.count("wasted", kind=kind)
+
     def _observe_refusal(self, tenant: str, _: str, reason: str) -> None:
         self.metrics.count("refused", kind=reason, tenant=tenant)
 
@@ -466,6 +505,7 @@
         while True:
             await asyncio.sleep(FORGET_PERIOD_S)
             self.home.forget_old()
+            self.guests.forget_old()
             self.book.forget_old()
 
     async def _hand_over_seat(self) -> None:
--- /dev/null
+++ b/zincwell/listeners/_guests.py
@@ -0,0 +1,90 @@
+"""Routes of the peers' listener that serve other domains' entries as a worker does.
+
+Their path names the incarnation that granted the lease. What goes wrong without it: an entry
+restarts at the same address and forgets the tasks that it ran; asked about them, it fences
+them as never seen, and their owner starts them again. With it the restarted entry answers an
+error, which proves nothing, and the owner says ``outcome_unknown``.
+"""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import aclosing
+from typing import TYPE_CHECKING
+
+import msgspec
+from sanic import HTTPResponse, Request, Sanic
+
+from zincwell.adapters._worker import LeaseCall, StartCall, StopCall, WatchCall
+from zincwell.listeners._listener import reply
+from zincwell.models import Answer
+from zincwell.ports import EventKind, WorkerEvent
+
+if TYPE_CHECKING:
+    from zincwell.entry import Entry
+
+GONE = 410
+PREFIX = "/spill/<incarnation:str>/<pool:str>"
+LINES = "application/x-ndjson"
+
+
+def add_guest_routes(app: Sanic, entry: Entry) -> None:
+    """Add the routes of the worker protocol."""
+    routes = _GuestRoutes(entry)
+    app.add_route(routes.lease, PREFIX + "/leases", methods=["POST"])
+    app.add_route(routes.start, PREFIX + "/starts", methods=["POST"])
+    app.add_route(routes.watch, PREFIX + "/watches", methods=["POST"])
+    app.add_route(routes.stop, PREFIX + "/stops", methods=["POST"])
+
+
+class _GuestRoutes:
+    """Handlers of the worker protocol."""
+
+    def __init__(self, entry: Entry):
+        self._entry = entry
+
+    async def lease(self, request: Request, incarnation: str, pool: str) -> HTTPResponse:
+        if incarnation != self._entry.incarnation:
+            return _gone()
+        call = msgspec.json.decode(request.body, type=LeaseCall)
+        lease = self._entry.guests.lease(pool=pool, entry=call.entry, ttl_s=call.ttl_s)
+        return reply(lease)
+
+    async def start(self, request: Request, incarnation: str, pool: str) -> HTTPResponse | None:
+        if incarnation != self._entry.incarnation:
+            return _gone()
+        call = msgspec.json.decode(request.body, type=StartCall)
+        events = self._entry.guests.start(
+            pool=pool, entry=call.entry, lease=call.lease, tasks=call.tasks
+        )
+        return await _stream(request, events)
+
+    async def watch(self, request: Request, incarnation: str, pool: str) -> HTTPResponse | None:
+        if incarnation != self._entry.incarnation:
+            return _gone()
+        call = msgspec.json.decode(request.body, type=WatchCall)
+        return await _stream(request, self._entry.guests.watch(ids=call.ids, fence=call.fence))
+
+    async def stop(self, request: Request, incarnation: str, pool: str) -> HTTPResponse:
+        if incarnation != self._entry.incarnation:
+            return _gone()
+        call = msgspec.json.decode(request.body, type=StopCall)
+        return reply(self._entry.guests.stop(ids=call.ids))
+
+
+async def _stream(request: Request, events: AsyncIterator[WorkerEvent]) -> None:
+    """Send events as lines, a beat first, so that the owner knows that they were taken in."""
+    response = await request.respond(content_type=LINES)
+    async with aclosing(events):
+        await response.send(_line(WorkerEvent(kind=EventKind.BEAT)))
+        async for event in events:
+            await response.send(_line(event))
+    await response.eof()
+
+
+def _line(event: WorkerEvent) -> bytes:
+    return msgspec.json.encode(event) + b"\n"
+
+
+def _gone() -> HTTPResponse:
+    return reply(Answer(reason="another_incarnation"), status=GONE)
--- a/zincwell/listeners/_peers.py
+++ b/zincwell/listeners/_peers.py
@@ -16,6 +16,7 @@
     HandoverCall,
     Heartbeat,
 )
+from zincwell.listeners._guests import add_guest_routes
 from zincwell.listeners._listener import Listener, reply
 from zincwell.models import Answer
 from zincwell.settings import ListenerSettings
@@ -47,6 +48,7 @@
         add(self._attach, "/peer/attach", methods=["POST"])
         add(self._cancel, "/peer/cancel", methods=["POST"])
         add(self._handover, "/peer/handover", methods=["POST"])
+        add_guest_routes(self.app, self.entry)
         self.app.on_request(self._check_key)
         self.app.error_handler.add(msgspec.MsgspecError, _answer_malformed)
 
--- a/zincwell/ports.py
+++ b/zincwell/ports.py
@@ -117,7 +117,10 @@
 
 
 class EventKind(enum.StrEnum):
-    """What a worker says of a task."""
+    """What a worker says of a task.
+
+    ``lost`` is said by an entry that runs a task for another: nobody can know its outcome.
+    """
 
     ACCEPTED = "accepted"
     REFUSED = "refused"
@@ -126,6 +129,7 @@
     FAILED = "failed"
     STOPPED = "stopped"
     FENCED = "fenced"
+    LOST = "lost"
     BEAT = "beat"
 
 
