--- a/bench/driver.py
+++ b/bench/driver.py
@@ -101,7 +101,11 @@
         slots=SLOTS,
         **scenario.document,
     )
-    urls = {entry.vm: entry.callers for entry in cluster.entry_by_vm.values()}
+    urls = {
+        entry.vm: entry.callers
+        for entry in cluster.entry_by_vm.values()
+        if scenario.domain in ("", entry.domain)
+    }
     processes: list[Process] = list(cluster.entry_by_vm.values())
     if baseline:
         started = await _start_baseline(cluster)
@@ -230,7 +234,7 @@
         one.answer.outcome.value if one.answer and one.answer.outcome else "no_answer"
         for one in sent
     )
-    domain_slots = size.slots if baseline else size.workers * SLOTS
+    domain_slots = size.slots if baseline or scenario.domain else size.workers * SLOTS
     return Report(
         scenario=scenario.name,
         system="baseline" if baseline else "zincwell",
@@ -282,7 +286,7 @@
     for entry in cluster.live_entries():
         metrics = await cluster.get(entry.operators + "/metrics")
         for counter in metrics["counters"]:
-            if counter["name"] == "wasted" and counter["kind"].startswith("retry"):
+            if counter["name"] == "wasted" and counter["kind"].startswith(("retry", "spill")):
                 wasted[counter["kind"]] += counter["count"]
             if counter["name"] == "peer_messages":
                 messages[counter["kind"]] += counter["count"]
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -22,6 +22,7 @@
 
     :ivar faults: what goes wrong, by the part of the duration after which it does.
     :ivar document: parts of the configuration that differ from the defaults.
+    :ivar domain: the only failure domain whose entries callers reach; all if not given.
     """
 
     name: str
@@ -29,6 +30,7 @@
     duration_s: float = 20.0
     faults: list[tuple[float, Fault]] = field(default_factory=list)
     document: dict = field(default_factory=dict)
+    domain: str = ""
 
 
 def steady(load: float) -> Scenario:
@@ -62,6 +64,20 @@
     return Scenario(name="flood", streams=streams)
 
 
+def one_domain_burst(name: str, *, spill: bool) -> Scenario:
+    """Bursts of 1.6 times what one domain's workers can do, while the other domain idles."""
+
+    def rate(at_s: float) -> float:
+        return BURST_RATE if BURST_FROM * 20 < at_s < BURST_UNTIL * 20 else 1.0
+
+    streams = [
+        Stream(tenant="school", share=0.1, rate=rate),
+        Stream(tenant="station", share=0.1, rate=rate),
+    ]
+    document = {"pools": {"braille": {"spill": spill}}}
+    return Scenario(name=name, streams=streams, document=document, domain="kariakoo")
+
+
 def with_fault(name: str, fault: Fault, *, load: float = 0.5) -> Scenario:
     """Even load with one fault after a third of the run."""
     return Scenario(name=name, streams=steady(load).streams, faults=[(0.33, fault)])
@@ -110,6 +126,8 @@
         steady(0.8),
         burst(),
         flood(),
+        one_domain_burst("one-domain-burst", spill=True),
+        one_domain_burst("one-domain-burst-alone", spill=False),
         with_fault("entry-killed", kill_entry),
         with_fault("worker-killed", kill_worker),
         with_fault("worker-fails", fail_worker),
