Ask an empty lender again only after a pause, and let a few guests wait

Change: a lender found empty is left alone for a second, and up to four guests may wait, for 100 ms at most, for a slot.

--- a/zincwell/core/_guests.py
+++ b/zincwell/core/_guests.py
@@ -31,6 +31,7 @@
 LONGEST_LEASE_S = 1.0
 HEADROOM_PARTS = 4
 GUEST_WAIT_S = 0.1
+MOST_WAITING = 4
 BEAT_S = 0.3
 MAX_REMEMBERED = 50_000
 MAX_OUTPUT_BYTES = 16 * 1024 * 1024
@@ -228,7 +229,10 @@
     def _is_full(self, pool: Pool) -> bool:
         guests = pool.queue.size_by_tenant.get(GUEST_TENANT, 0)
         own = pool.queue.size - guests
-        return own > 0 or pool.room() <= guests or len(self._guest_by_id) >= MAX_REMEMBERED
+        # A few may wait for a moment: a refusal costs a message, and slots lent within the
+        # domain come back by the next heartbeat.
+        is_short = pool.room() <= guests and guests >= MOST_WAITING
+        return own > 0 or is_short or len(self._guest_by_id) >= MAX_REMEMBERED
 
     def _take_in(self, pool: str, entry: str, start: Start) -> Guest:
         now = self._clock.monotonic()
--- a/zincwell/core/_spill.py
+++ b/zincwell/core/_spill.py
@@ -25,7 +25,8 @@
 
 STEP_S = 0.03
 LEASE_S = 0.8
-TRIAL_S = 0.3
+TRIAL_S = 0.2
+EMPTY_PAUSE_S = 1.0
 IDLE_S = 2.0
 ADDED_AT_ONCE = 2
 MAX_LENDERS = 6
@@ -63,6 +64,7 @@
         self._starved = asyncio.Event()
         self._lane_by_worker: dict[Worker, asyncio.Task] = {}
         self._useful_at_by_worker: dict[Worker, float] = {}
+        self._paused_until_by_seat: dict[str, float] = {}
         self._retiring: set[asyncio.Task] = set()
 
     def note_starved(self) -> None:
@@ -106,14 +108,21 @@
                 self._useful_at_by_worker[worker] = now
         else:
             patience_s = TRIAL_S
+            self._paused_until_by_seat[worker.name] = now + EMPTY_PAUSE_S
         if now - self._useful_at_by_worker[worker] > patience_s:
             self._drop(pool, worker)
 
     def _add_lenders(self, pool: Pool) -> None:
+        """Ask a few entries of other domains, and none that had no room a moment ago."""
+        now = self._clock.monotonic()
+        paused = {name: at for name, at in self._paused_until_by_seat.items() if at > now}
+        self._paused_until_by_seat = paused
         seats = [
             seat
             for seat in self._membership.seats_by_vm.values()
-            if seat.domain != self._domain and seat.id not in pool.lender_by_name
+            if seat.domain != self._domain
+            and seat.id not in pool.lender_by_name
+            and seat.id not in paused
         ]
         count = min(ADDED_AT_ONCE, MAX_LENDERS - len(pool.lender_by_name), len(seats))
         for seat in self._random.sample(seats, max(0, count)):
