Time no run whose beginning was not heard of

Cause: a task's run is timed from the worker's word that it has accepted it. If a broken stream took that word and the task was final when the owner asked again, it was timed from 0, the start of the VM. One such task moved the expected run time of its service by 2% of the VM's uptime (after the first, to all of it), and admission then refused work as overload with an empty queue.

Change: such a run enters neither the expected run time, nor the worker's health, nor the histograms of queueing and run time.

--- a/zincwell/core/_dispatch.py
+++ b/zincwell/core/_dispatch.py
@@ -199,13 +199,19 @@
         pool.wake()
 
     def _complete(self, task: Task, worker: Worker | None, event: WorkerEvent) -> None:
+        self._note_run(task, worker)
+        task.output = event.output
+        self._end(task, Outcome.COMPLETED, "")
+
+    def _note_run(self, task: Task, worker: Worker | None) -> None:
+        """Note a run time, if it is known; a lost connection may have taken its beginning."""
+        if not task.started_at:
+            return
         run_s = self._clock.monotonic() - task.started_at
         expected_s = self.run_times.expected_s(task.job.service)
         self.run_times.note(task.job.service, run_s)
         if worker is not None:
             worker.health.note_success(ratio=run_s / max(expected_s, 0.001))
-        task.output = event.output
-        self._end(task, Outcome.COMPLETED, "")
 
     def _fail(self, pool: Pool, task: Task, worker: Worker | None, event: WorkerEvent) -> None:
         if worker is not None:
--- a/zincwell/entry.py
+++ b/zincwell/entry.py
@@ -464,8 +464,9 @@
             return
         now = self.clock.monotonic()
         labels = {"tenant": job.tenant, "urgency": job.urgency}
-        self.metrics.observe("queueing", task.started_at - task.queued_at, **labels)
-        self.metrics.observe("run", now - task.started_at, **labels)
+        if task.started_at:
+            self.metrics.observe("queueing", task.started_at - task.queued_at, **labels)
+            self.metrics.observe("run", now - task.started_at, **labels)
         if job.unfinished == 0:
             self.metrics.observe("response", now - job.arrived_at, **labels)
 
