Lend only after a calm second, and ask empty lenders ever more rarely

A lender promised slots that were idle between two waves of its own work.

Change: a lender promises nothing until its own tasks have not waited for a second; the pause for an entry found empty doubles up to 8 s.

--- a/tests/test_guests.py
+++ b/tests/test_guests.py
@@ -11,6 +11,7 @@
 
 from tests.test_ownership_property import ManualClock
 from zincwell.core import _guests
+from zincwell.core._follow import NEVER
 from zincwell.core._guests import Guests
 from zincwell.core._jobs import Job, make_answer
 from zincwell.models import MAX_DEADLINE_MS
@@ -28,6 +29,7 @@
         queue = SimpleNamespace(size=0, size_by_tenant={})
         self.pool = SimpleNamespace(
             queue=queue,
+            own_waited_at=NEVER,
             rules=SimpleNamespace(spill=True),
             room=lambda: ROOM,
             capacity=lambda: ROOM,
--- a/zincwell/core/_guests.py
+++ b/zincwell/core/_guests.py
@@ -32,6 +32,7 @@
 HEADROOM_PARTS = 4
 GUEST_WAIT_S = 0.1
 MOST_WAITING = 4
+CALM_S = 1.0
 BEAT_S = 0.3
 MAX_REMEMBERED = 50_000
 MAX_OUTPUT_BYTES = 16 * 1024 * 1024
@@ -197,6 +198,10 @@
         pool = self._dispatcher.pool_by_name.get(pool_name)
         if pool is None or not pool.rules.spill or self._is_draining() or pool.queue.size:
             return running
+        # Slots idle between two waves of our own work would be gone when the guests arrive,
+        # and each be a refused start.
+        if self._clock.monotonic() - pool.own_waited_at < CALM_S:
+            return running
         idle = pool.room() - pool.capacity() // HEADROOM_PARTS - self._promised(pool_name, entry)
         return running + max(0, idle)
 
--- a/zincwell/core/_pool.py
+++ b/zincwell/core/_pool.py
@@ -7,6 +7,7 @@
 from collections import deque
 from collections.abc import Callable
 
+from zincwell.core._follow import NEVER
 from zincwell.core._health import may_eject_more, should_eject
 from zincwell.core._jobs import GUEST_TENANT, Task
 from zincwell.core._ordering import Queue
@@ -48,6 +49,7 @@
         self.worker_by_name: dict[str, Worker] = {}
         self.lender_by_name: dict[str, Worker] = {}
         self._full_since: float | None = None
+        self.own_waited_at = NEVER
         self._shares = shares
         self._clock = clock
         self._random = random.Random(seed)
@@ -141,7 +143,9 @@
         return {worker: room for worker, room in rooms.items() if room > 0}
 
     def _note_fullness(self, *, is_full: bool) -> None:
-        """Note since when tasks have waited for slots without a break."""
+        """Note since when tasks have waited for slots without a break, and own ones at all."""
+        if self.queue.size > self.queue.size_by_tenant.get(GUEST_TENANT, 0):
+            self.own_waited_at = self._clock.monotonic()
         if not is_full:
             self._full_since = None
         elif self._full_since is None:
--- a/zincwell/core/_spill.py
+++ b/zincwell/core/_spill.py
@@ -26,7 +26,8 @@
 STEP_S = 0.03
 LEASE_S = 0.8
 TRIAL_S = 0.2
-EMPTY_PAUSE_S = 1.0
+SHORTEST_PAUSE_S = 1.0
+LONGEST_PAUSE_S = 8.0
 IDLE_S = 2.0
 ADDED_AT_ONCE = 2
 MAX_LENDERS = 6
@@ -64,6 +65,7 @@
         self._starved = asyncio.Event()
         self._lane_by_worker: dict[Worker, asyncio.Task] = {}
         self._useful_at_by_worker: dict[Worker, float] = {}
+        self._pause_s_by_seat: dict[str, float] = {}
         self._paused_until_by_seat: dict[str, float] = {}
         self._retiring: set[asyncio.Task] = set()
 
@@ -104,14 +106,22 @@
         now = self._clock.monotonic()
         if worker.placed_by_id or worker in pool.lender_rooms():
             patience_s = IDLE_S
+            self._pause_s_by_seat.pop(worker.name, None)
             if worker.placed_by_id or pool.wants_to_spill():
                 self._useful_at_by_worker[worker] = now
         else:
             patience_s = TRIAL_S
-            self._paused_until_by_seat[worker.name] = now + EMPTY_PAUSE_S
         if now - self._useful_at_by_worker[worker] > patience_s:
+            if patience_s == TRIAL_S:
+                self._pause(worker.name, now)
             self._drop(pool, worker)
 
+    def _pause(self, seat: str, now: float) -> None:
+        """Leave an entry that had no room alone for a while, longer each time."""
+        pause_s = self._pause_s_by_seat.get(seat, SHORTEST_PAUSE_S)
+        self._pause_s_by_seat[seat] = min(2 * pause_s, LONGEST_PAUSE_S)
+        self._paused_until_by_seat[seat] = now + pause_s
+
     def _add_lenders(self, pool: Pool) -> None:
         """Ask a few entries of other domains, and none that had no room a moment ago."""
         now = self._clock.monotonic()
