Refuse bad settings, documents and commands by name, and unguarded listeners

Change: zincwell/checking.py finds every fault with its path; settings and documents use it. Listeners for operators and peers without their secret are refused off loopback. Clients of ours trust a ca_file.

--- a/zincwell/admin.py
+++ b/zincwell/admin.py
@@ -3,18 +3,24 @@
 from __future__ import annotations
 
 import asyncio
-import uuid
 from typing import Any
 
 import aiohttp
 import msgspec
 
+from zincwell.adapters import make_client_tls
+from zincwell.core._publishing import Proposal
 from zincwell.entry import Status, read_secret
-from zincwell.exceptions import AdminError
+from zincwell.exceptions import AdminError, OpenChangeError
 from zincwell.listeners import CheckReply, ConfigReply, PublishReply
 from zincwell.models import Answer
 
 TIMEOUT_S = 15.0
+HTTP_OK = 200
+HTTP_ACCEPTED = 202
+HTTP_BAD_REQUEST = 400
+HTTP_CONFLICT = 409
+SERVER_FAULT = 500
 NETWORK_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
 
 
@@ -23,10 +29,12 @@
 
     :param url: base URL of the entry's listener for operators.
     :param token_file: file with the bearer token; empty for none.
+    :param ca_file: file with the certificates that sign the listener's; empty: the system's.
     """
 
-    def __init__(self, *, url: str, token_file: str = ""):
+    def __init__(self, *, url: str, token_file: str = "", ca_file: str = ""):
         self._url = url.rstrip("/")
+        self._tls = make_client_tls(ca_file)
         self._token = read_secret(token_file)
 
     def status(self) -> Status:
@@ -46,27 +54,44 @@
 
     def check_config(self, document: dict[str, Any]) -> CheckReply:
         """Check a document and return what it would change."""
-        return self._call("POST", "/v1/config/check", document, CheckReply)
-
-    def publish_config(
-        self, document: dict[str, Any], *, base: int, by: str, note: str
-    ) -> PublishReply:
-        """Publish a document and return the verdict."""
-        proposal = {
-            "id": uuid.uuid4().hex,
-            "base": base,
-            "document": document,
-            "by": by,
-            "note": note,
-        }
-        return self._call("POST", "/v1/config", proposal, PublishReply)
+        path = "/v1/config/check"
+        return self._call("POST", path, document, CheckReply, (HTTP_OK, HTTP_BAD_REQUEST))
+
+    def publish_config(self, proposal: Proposal) -> PublishReply:
+        """Publish a document and return the verdict.
+
+        :raises OpenChangeError: if the change may or may not have taken effect.
+        :raises AdminError: if it was refused as it stands.
+        """
+        path = "/v1/config"
+        try:
+            status, body = asyncio.run(self._send("POST", path, proposal))
+        except AdminError as error:
+            raise OpenChangeError(str(error)) from error
+        if status in (HTTP_OK, HTTP_CONFLICT):
+            return self._decode(path, status, body, PublishReply)
+        message = f"{self._url}{path}: {status} {_detail(body)}"
+        raise OpenChangeError(message) if status >= SERVER_FAULT else AdminError(message)
 
     def drain(self) -> None:
         """Tell the entry to drain and end."""
         self._call("POST", "/v1/drain", {}, dict)
 
-    def _call(self, method: str, path: str, value: Any, type_: Any) -> Any:
+    def _call(
+        self,
+        method: str,
+        path: str,
+        value: Any,
+        type_: Any,
+        expected: tuple[int, ...] = (HTTP_OK, HTTP_ACCEPTED),
+    ) -> Any:
         status, body = asyncio.run(self._send(method, path, value))
+        # Judged by the status: the body of a refusal can pass for what was asked for.
+        if status not in expected:
+            raise AdminError(f"{self._url}{path}: {status} {_detail(body)}")
+        return self._decode(path, status, body, type_)
+
+    def _decode(self, path: str, status: int, body: bytes, type_: Any) -> Any:
         try:
             return msgspec.json.decode(body, type=type_)
         except msgspec.MsgspecError:
@@ -79,11 +104,13 @@
         try:
             async with (
                 aiohttp.ClientSession(timeout=timeout) as session,
-                session.request(method, self._url + path, data=body, headers=headers) as response,
+                session.request(
+                    method, self._url + path, data=body, headers=headers, ssl=self._tls
+                ) as response,
             ):
                 return response.status, await response.read()
-        except NETWORK_ERRORS as error:
-            raise AdminError(f"{self._url}: {error}") from error
+        except (*NETWORK_ERRORS, ValueError) as error:
+            raise AdminError(f"{self._url}: {error!r}") from error
 
 
 def _detail(body: bytes) -> str:
--- /dev/null
+++ b/zincwell/checking.py
@@ -0,0 +1,116 @@
+"""Find every fault of a value that came from outside, each with the name of its field.
+
+msgspec stops at the first fault and calls an entry of a mapping ``[...]``. Operators need the
+name of the service or pool that is wrong, what is allowed there, and all faults at once.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterator, Sequence
+from typing import Any, Literal, get_args, get_origin
+
+import msgspec
+from msgspec import Struct
+
+LONGEST_SHOWN = 40
+
+
+class Fault(Struct, frozen=True, kw_only=True):
+    """One thing that is wrong.
+
+    :param path: names of the fields from the outermost to the one that is wrong.
+    :param message: what is allowed there.
+    """
+
+    path: tuple[str, ...]
+    message: str
+
+    @property
+    def key(self) -> str:
+        """The path as written in a TOML file."""
+        return ".".join(self.path)
+
+    def __str__(self) -> str:
+        return f"{self.message} - at `$.{self.key}`" if self.path else self.message
+
+
+def find_faults(value: Any, type_: Any, path: Sequence[str] = ()) -> Iterator[Fault]:
+    """Yield what keeps plain values from being of a type.
+
+    :param type_: a struct, a mapping of names, an enumeration or any type that msgspec knows.
+    """
+    path = tuple(path)
+    if is_struct(type_):
+        yield from _find_in_struct(value, type_, path)
+    elif get_origin(type_) is dict:
+        yield from _find_in_mapping(value, type_, path)
+    else:
+        message = check_value(value, type_)
+        if message:
+            yield Fault(path=path, message=message)
+
+
+def check_value(value: Any, type_: Any) -> str:
+    """Return what is allowed if a value is not, or an empty string."""
+    try:
+        msgspec.convert(value, type_)
+    except msgspec.ValidationError as error:
+        choices = list_choices(type_)
+        if choices:
+            return f"Expected one of {', '.join(choices)}, got {_show(value)}"
+        return f"{_without_place(error)}, got {_show(value)}"
+    return ""
+
+
+def list_choices(type_: Any) -> list[str]:
+    """Return the values of an enumeration; nothing for other types."""
+    if get_origin(type_) is Literal:
+        return [str(choice) for choice in get_args(type_)]
+    if isinstance(type_, type) and issubclass(type_, enum.Enum):
+        return [str(choice.value) for choice in type_]
+    return []
+
+
+def is_struct(type_: Any) -> bool:
+    """Tell whether a type is a msgspec struct."""
+    return isinstance(type_, type) and issubclass(type_, Struct)
+
+
+def _find_in_struct(value: Any, type_: Any, path: tuple[str, ...]) -> Iterator[Fault]:
+    if not isinstance(value, dict):
+        yield Fault(path=path, message=f"Expected a table, got {_show(value)}")
+        return
+    fields = msgspec.structs.fields(type_)
+    names = [field.encode_name for field in fields]
+    for name in value:
+        if name not in names:
+            yield Fault(path=(*path, name), message=f"Unknown key, allowed: {', '.join(names)}")
+    for field in fields:
+        inner = (*path, field.encode_name)
+        if field.encode_name in value:
+            yield from find_faults(value[field.encode_name], field.type, inner)
+        elif field.required:
+            yield Fault(path=inner, message="Missing, a value is required")
+
+
+def _find_in_mapping(value: Any, type_: Any, path: tuple[str, ...]) -> Iterator[Fault]:
+    if not isinstance(value, dict):
+        yield Fault(path=path, message=f"Expected a table, got {_show(value)}")
+        return
+    name_type, inner_type = get_args(type_)
+    for name, inner in value.items():
+        message = check_value(name, name_type)
+        if message:
+            yield Fault(path=(*path, name), message=f"Not allowed as a name: {message}")
+        yield from find_faults(inner, inner_type, (*path, name))
+
+
+def _without_place(error: msgspec.ValidationError) -> str:
+    """Return what msgspec expected, without the place and the type that it got."""
+    return str(error).partition(" - at `")[0].partition(", got `")[0]
+
+
+def _show(value: Any) -> str:
+    text = repr(value)
+    return text if len(text) <= LONGEST_SHOWN else text[:LONGEST_SHOWN] + "..."
--- a/zincwell/document.py
+++ b/zincwell/document.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Iterator
 from typing import Annotated
 
 import msgspec
 from msgspec import Meta, Struct
 
+from zincwell.checking import Fault, find_faults
 from zincwell.exceptions import DocumentError
 from zincwell.models import Name
 
@@ -106,6 +108,7 @@
 class Document(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """The whole configuration, with the version of its format.
 
+    :param format: version of this format.
     :param domains: failure domains that keys without a prefix are spread over.
     :param open_tenants: whether tenants that are not listed are served too, at weight 1.
     """
@@ -123,15 +126,32 @@
 def parse_document(value: object) -> Document:
     """Check a document given as plain JSON or TOML values.
 
-    :raises DocumentError: naming the field that is wrong.
+    :raises DocumentError: naming each field that is wrong.
     """
+    faults = list(find_document_faults(value))
+    if faults:
+        raise DocumentError("; ".join(str(fault) for fault in faults))
     try:
-        document = msgspec.convert(value, Document)
+        return msgspec.convert(value, Document)
     except msgspec.ValidationError as error:
         raise DocumentError(str(error)) from error
-    for name, service in document.services.items():
-        if service.pool not in document.pools:
-            raise DocumentError(f"unknown pool {service.pool!r} - at `$.services.{name}.pool`")
-    if len(set(document.domains)) != len(document.domains):
-        raise DocumentError("a domain stands twice - at `$.domains`")
-    return document
+
+
+def find_document_faults(value: object) -> Iterator[Fault]:
+    """Yield everything that is wrong in a document, by field."""
+    yield from find_faults(value, Document)
+    if not isinstance(value, dict):
+        return
+    pools, services = value.get("pools"), value.get("services")
+    if isinstance(pools, dict) and isinstance(services, dict):
+        yield from _find_unknown_pools(pools, services)
+    domains = value.get("domains")
+    if isinstance(domains, list) and len({str(name) for name in domains}) != len(domains):
+        yield Fault(path=("domains",), message="a domain stands twice")
+
+
+def _find_unknown_pools(pools: dict, services: dict) -> Iterator[Fault]:
+    for name, service in services.items():
+        pool = service.get("pool") if isinstance(service, dict) else None
+        if isinstance(pool, str) and pool and pool not in pools:
+            yield Fault(path=("services", name, "pool"), message=f"unknown pool {pool!r}")
--- a/zincwell/entry.py
+++ b/zincwell/entry.py
@@ -16,6 +16,7 @@
     HttpVmDirectory,
     HttpWorkerTransport,
     SystemClock,
+    make_client_tls,
 )
 from zincwell.core._admission import Admission
 from zincwell.core._configuration import Configuration
@@ -122,6 +123,7 @@
                 limit=0,
                 keepalive_timeout=IDLE_PEER_CONNECTION_S,
                 local_addr=self._local_address(),
+                ssl=make_client_tls(self.settings.ca_file),
             )
         )
         self._assemble(self.settings.peers_url or peers_url, peer_key)
@@ -489,6 +491,8 @@
         secret = Path(path).read_text(encoding="utf-8").strip()
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise SettingsError(f"{path}: not text in UTF-8") from error
     if not secret:
         raise SettingsError(f"{path}: the file is empty")
     return secret
--- a/zincwell/exceptions.py
+++ b/zincwell/exceptions.py
@@ -28,6 +28,10 @@
     """An entry's listener for operators refused a call or did not answer."""
 
 
+class OpenChangeError(AdminError):
+    """A change was sent and its verdict is not known; it may have taken effect."""
+
+
 class PlatformError(ZincwellError):
     """The platform did not serve a call (base of the two below)."""
 
--- a/zincwell/settings.py
+++ b/zincwell/settings.py
@@ -6,13 +6,15 @@
 
 from __future__ import annotations
 
+import ipaddress
 import tomllib
 from pathlib import Path
-from typing import Annotated
+from typing import Annotated, Literal
 
 import msgspec
 from msgspec import Meta, Struct
 
+from zincwell.checking import find_faults
 from zincwell.exceptions import SettingsError
 from zincwell.models import Name
 
@@ -101,8 +103,12 @@
     :param vm: name of this VM, unique among the entries.
     :param domain: failure domain of this VM.
     :param peers_url: base URL by which peers reach this entry, if not by what it listens on.
-    :param peer_key_file: file with the key that peers prove to each other; empty: no check.
-    :param operator_token_file: file with the operators' bearer token; empty: loopback only.
+    :param peer_key_file: file with the key that peers prove to each other; without one the
+        peers' listener must be on a loopback address.
+    :param operator_token_file: file with the operators' bearer token; without one the
+        operators' listener must be on a loopback address.
+    :param ca_file: file with the certificates, in PEM, that sign those of the peers' listeners
+        and of the platform; empty: those of the operating system.
     :param otlp_endpoint: URL that metrics are sent to; empty keeps them local.
     :param log_level: debug, info, warning or error.
     """
@@ -118,8 +124,9 @@
     peers_url: str = ""
     peer_key_file: str = ""
     operator_token_file: str = ""
+    ca_file: str = ""
     otlp_endpoint: str = ""
-    log_level: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
 
 
 def load_settings(path: str | Path) -> Settings:
@@ -131,6 +138,8 @@
         text = Path(path).read_text(encoding="utf-8")
     except OSError as error:
         raise SettingsError(f"{path}: {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise SettingsError(f"{path}: not text in UTF-8") from error
     return parse_settings(text, source=str(path))
 
 
@@ -141,20 +150,57 @@
     :raises SettingsError: naming the source, the key and what is allowed.
     """
     try:
-        settings = msgspec.convert(tomllib.loads(text), Settings)
+        value = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         raise SettingsError(f"{source}: not TOML: {error}") from error
-    except msgspec.ValidationError as error:
+    faults = [f"{fault.key}: {fault.message}" for fault in find_faults(value, Settings)]
+    if faults:
+        raise SettingsError("\n".join(f"{source}: {fault}" for fault in faults))
+    settings = msgspec.convert(value, Settings)
+    try:
+        check_settings(settings)
+    except SettingsError as error:
         raise SettingsError(f"{source}: {error}") from error
-    _check_timing(settings.timing, source)
     return settings
 
 
-def _check_timing(timing: TimingSettings, source: str) -> None:
+def check_settings(settings: Settings) -> None:
+    """Check what no single value shows.
+
+    :raises SettingsError: naming the keys that don't go together.
+    """
+    _check_timing(settings.timing)
+    for name in ("callers", "peers", "operators"):
+        _check_listener(name, getattr(settings, name))
+    _check_secret("operators", settings.operators, "operator_token_file", settings)
+    _check_secret("peers", settings.peers, "peer_key_file", settings)
+
+
+def _check_timing(timing: TimingSettings) -> None:
     """Refuse periods under which two homes could grant the same key."""
     if timing.peer_silence_s <= 2 * timing.seat_lease_s:
-        raise SettingsError(
-            f"{source}: timing.peer_silence_s must be over twice timing.seat_lease_s"
-        )
+        raise SettingsError("timing.peer_silence_s must be over twice timing.seat_lease_s")
     if timing.heartbeat_s * 3 > timing.seat_lease_s:
-        raise SettingsError(f"{source}: timing.seat_lease_s must be over 3 timing.heartbeat_s")
+        raise SettingsError("timing.seat_lease_s must be over 3 timing.heartbeat_s")
+
+
+def _check_listener(name: str, listener: ListenerSettings) -> None:
+    try:
+        ipaddress.IPv4Address(listener.host)
+    except ValueError as error:
+        raise SettingsError(f"{name}.host: {listener.host!r} is not an IPv4 number") from error
+    if listener.tls_key and not listener.tls_cert:
+        raise SettingsError(f"{name}.tls_key is set without {name}.tls_cert")
+
+
+def _check_secret(name: str, listener: ListenerSettings, key: str, settings: Settings) -> None:
+    """Refuse a listener that anyone on the network could command.
+
+    Without this, a forgotten line of the settings opens the configuration, or the claims on
+    callers' keys, to every machine that reaches the VM, and nobody would notice.
+    """
+    if getattr(settings, key) or ipaddress.IPv4Address(listener.host).is_loopback:
+        return
+    raise SettingsError(
+        f"{name}.host: {listener.host} is not a loopback address, which needs {key} to be set"
+    )
