--- a/zincwell/cli.py
+++ b/zincwell/cli.py
@@ -212,7 +212,7 @@
         print("draining")
 
 
-def _client(entry: str, *, token_file: str, ca_file: str) -> AdminClient:
+def _client(entry: str, token_file: str, ca_file: str) -> AdminClient:
     return AdminClient(url=str(entry), token_file=str(token_file), ca_file=str(ca_file))
 
 
