Add the operators' console of forms

Change: server-rendered pages under /console on the operators' listener: overview, forms for services, pools, urgent work, tenants, domains and retries, review with the difference from the version in force, publishing, and rebasing after a lost race. The draft and the document it was made from travel in the form, so any entry can take the next step and nothing typed is lost. The id of a change is made from its content, so that a second press counts once. The session is a cookie signed by a key from the operators' token; forms carry a token bound to it. Fields, hints and errors come from the types of the document.

Ruled out: drafts and sessions kept on the entry (VMs keep nothing and the balancer moves browsers); a merge by whole document (would undo what came in between); inline scripts.

Without a token, calls from pages of other sites are refused, as they could publish from the browser of whoever works on that machine.

--- a/zincwell/listeners/_operators.py
+++ b/zincwell/listeners/_operators.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import hmac
-from typing import Any
+import ipaddress
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 from msgspec import Struct
@@ -14,9 +15,15 @@
 from zincwell.core._publishing import Proposal
 from zincwell.document import parse_document
 from zincwell.exceptions import DocumentError
+from zincwell.listeners._console import ROOT, Console
 from zincwell.listeners._listener import Listener, reply
 from zincwell.models import Answer
+from zincwell.settings import ListenerSettings
 
+if TYPE_CHECKING:
+    from zincwell.entry import Entry
+
+FORBIDDEN = 403
 OPEN_PATHS = frozenset({"/live", "/ready"})
 BAD_REQUEST = 400
 UNAUTHORIZED = 401
@@ -62,6 +69,11 @@
 
     name = "operators"
 
+    def __init__(self, *, entry: Entry, settings: ListenerSettings):
+        self._token = entry.operator_token
+        self.console = Console(entry=entry, token=self._token, is_tls=bool(settings.tls_cert))
+        super().__init__(entry=entry, settings=settings)
+
     def _add_routes(self) -> None:
         add = self.app.add_route
         add(self._live, "/live", methods=["GET"])
@@ -72,18 +84,27 @@
         add(self._check_config, "/v1/config/check", methods=["POST"])
         add(self._publish_config, "/v1/config", methods=["POST"])
         add(self._drain, "/v1/drain", methods=["POST"])
-        self.app.on_request(self._check_token)
+        self.console.add_routes(add)
+        self.app.on_request(self._check_caller)
 
-    async def _check_token(self, request: Request) -> HTTPResponse | None:
-        token = self.entry.operator_token
-        if not token or request.path in OPEN_PATHS:
+    async def _check_caller(self, request: Request) -> HTTPResponse | None:
+        if request.path in OPEN_PATHS:
+            return None
+        if not self._token and _is_from_a_page(request):
+            answer = Answer(reason="cross_site", detail="not for pages of other sites")
+            return reply(answer, status=FORBIDDEN)
+        if not self._token or self._is_console(request):
             return None
         given = request.headers.get("authorization", "")
-        if hmac.compare_digest(given.encode(), (BEARER + token).encode()):
+        if hmac.compare_digest(given.encode(), (BEARER + self._token).encode()):
             return None
         answer = Answer(reason="wrong_token", detail="a valid bearer token is needed")
         return reply(answer, status=UNAUTHORIZED)
 
+    def _is_console(self, request: Request) -> bool:
+        """Tell whether it is a page of the console, which asks for a session by itself."""
+        return request.path == ROOT or request.path.startswith(ROOT + "/")
+
     async def _live(self, _: Request) -> HTTPResponse:
         return reply({"live": True})
 
@@ -141,3 +162,21 @@
         """Begin to drain; the process ends once nothing is in flight."""
         self.entry.ask_to_drain()
         return reply({"draining": True}, status=202)
+
+
+def _is_from_a_page(request: Request) -> bool:
+    """Tell whether a page of another site made a browser send this.
+
+    Without a token, whoever runs a browser on this machine is trusted, and any page that it
+    shows could publish a change from there. One would notice changes that nobody made. A page
+    has to say its origin, or it had its own name resolved to our address.
+    """
+    host = request.headers.get("host", "")
+    name = host.partition(":")[0]
+    if name != "localhost":
+        try:
+            ipaddress.IPv4Address(name)
+        except ValueError:
+            return True
+    origin = request.headers.get("origin")
+    return origin is not None and origin != f"{request.scheme}://{host}"
