--- a/tests/relay.py
+++ b/tests/relay.py
@@ -31,7 +31,7 @@
 
     def aim(self, url: str) -> None:
         """Set the target by its base URL."""
-        host, _, port = url.removeprefix("http://").partition(":")
+        host, _, port = url.partition("://")[2].partition(":")
         self.target = (host, int(port))
 
     def cut(self, source: str) -> None:
