Tell an entry that is behind from a lost race

Cause: publishing took any base other than the version in force here for an older one. An operator whose second change came by an entry some milliseconds behind was told of a lost race with nobody, and the console would have offered to put the draft onto an older version.

Change: the publisher waits for the base to be read here, at most as long as for a verdict, and then answers 425 entry_behind; the console says so and offers no rebase.

Ruled out: a race on the log itself (every reader judges a change by the same rule).

--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -295,6 +295,29 @@
     assert_that(lone.entry.configuration.value["tenants"], Equals(expected))
 
 
+async def test_entry_behind_the_draft_offers_no_rebase(
+    browser: Browser, monkeypatch: pytest.MonkeyPatch
+):
+    """A draft is never put onto a version older than its own.
+
+    Symptom: a published change is undone. Sequence: the balancer sends the draft of a new
+    version to an entry that has not read it. Cause: "another version" is taken for "newer".
+    """
+    monkeypatch.setattr("zincwell.core._publishing.VERDICT_WAIT_S", 0.1)
+    fields = (await browser.open_section("tenants")).fields("edit")
+    fields["draft"] = fields["draft"].replace('"base":0', '"base":7')
+
+    review = await browser.post("edit", fields, action="review", **{WEIGHT: "4.5"})
+    refused = await browser.post("publish", review.fields("publish"), note="exam week")
+    kept = await browser.post("rebase", review.fields("publish"))
+
+    for page in (review, refused, kept):
+        assert_that(page.text, Contains("has read up to version 0"))
+        assert_that(page.fields_by_action, Not(Contains("/console/rebase")))
+        assert_that(page.text, Contains("+weight = 4.5"))
+    assert_that(refused.fields("publish")["note"], Equals("exam week"))
+
+
 async def test_race_seen_at_the_review(lone: LoneEntry, browser: Browser):
     shown = await browser.open_section("tenants")
     await lone.publish({"tenants": {"radio": {}}}, change_id="theirs")
--- a/zincwell/core/_publishing.py
+++ b/zincwell/core/_publishing.py
@@ -67,6 +67,10 @@
         verdict = self._configuration.verdict_by_id.get(proposal.id)
         if verdict is not None:
             return Ok(verdict)
+        if not await self._reach(proposal.base):
+            version = self._configuration.version
+            detail = f"this entry has read up to version {version}, not {proposal.base}"
+            return Err(PublishFailure(reason="entry_behind", detail=detail))
         if proposal.base != self._configuration.version:
             return Ok(self._lost(proposal))
         change = {
@@ -91,6 +95,23 @@
         detail = "the log did not answer; ask again with the same id"
         return Err(PublishFailure(reason="log_unavailable", detail=detail, is_open=True))
 
+    async def _reach(self, version: int) -> bool:
+        """Wait until a version has been read here and tell whether it has.
+
+        An operator's next change can come by an entry that is some milliseconds behind the one
+        that took the last. Without this, it would be told of a lost race with nobody.
+        """
+
+        async def reached() -> None:
+            while self._configuration.version < version:
+                await self._configuration.changed()
+
+        try:
+            await asyncio.wait_for(reached(), VERDICT_WAIT_S)
+        except TimeoutError:
+            return False
+        return True
+
     async def _wait_for_verdict(self, change_id: str) -> Verdict | None:
         async def found() -> Verdict:
             while change_id not in self._configuration.verdict_by_id:
--- a/zincwell/listeners/_console.py
+++ b/zincwell/listeners/_console.py
@@ -223,7 +223,8 @@
             return self._tell_failure(session, draft, note, result.err_value)
         verdict = result.ok_value
         if not verdict.accepted:
-            return self._review(session, draft, note=note, status=CONFLICT, error=verdict.reason)
+            error = f"Not published: {verdict.reason}."
+            return self._review(session, draft, note=note, status=CONFLICT, error=error)
         return _redirect(f"{ROOT}?published={verdict.version}")
 
     @page
@@ -238,7 +239,8 @@
         self, session: Session, draft: drafts.Draft, note: str, failure: PublishFailure
     ) -> HTTPResponse:
         if not failure.is_open:
-            return self._review(session, draft, note=note, error=failure.detail, status=BAD_REQUEST)
+            error = f"Not published: {failure.detail}."
+            return self._review(session, draft, note=note, error=error, status=BAD_REQUEST)
         error = "The log did not answer: the change may be in force or may still come into force."
         return self._review(
             session, draft, note=note, error=error, status=UNAVAILABLE, is_open=True
@@ -296,7 +298,7 @@
             draft=draft,
             draft_text=drafts.encode_draft(draft),
             version=configuration.version,
-            diff=drafts.diff_documents(draft.before, draft.document),
+            diff=drafts.diff_draft(draft),
             document=drafts.format_document(draft.document),
             since=[_tell(verdict) for verdict in configuration.changes_since(draft.base)],
             note=note,
--- a/zincwell/listeners/_drafts.py
+++ b/zincwell/listeners/_drafts.py
@@ -72,8 +72,12 @@
 def rebase(draft: Draft, configuration: Configuration) -> tuple[Draft, list[Conflict]]:
     """Put what a draft changes onto the version in force.
 
+    A draft of a version that this entry has not read yet stays as it is.
+
     :returns: the new draft and the places where it overrides a change made in between.
     """
+    if draft.base >= configuration.version:
+        return draft, []
     mine = make_patch(draft.before, draft.document)
     theirs = make_patch(draft.before, configuration.value)
     rebased = Draft(
@@ -84,12 +88,12 @@
     return rebased, list(_find_conflicts(mine, theirs))
 
 
-def diff_documents(before: dict[str, Any], after: dict[str, Any]) -> list[str]:
-    """Return the lines of a unified diff of two documents, in TOML."""
+def diff_draft(draft: Draft) -> list[str]:
+    """Return the lines of a unified diff of a draft and what it was made from, in TOML."""
     lines = difflib.unified_diff(
-        format_document(before).splitlines(),
-        format_document(after).splitlines(),
-        fromfile="in force",
+        format_document(draft.before).splitlines(),
+        format_document(draft.document).splitlines(),
+        fromfile=f"version {draft.base}",
         tofile="draft",
         lineterm="",
     )
--- a/zincwell/listeners/_operators.py
+++ b/zincwell/listeners/_operators.py
@@ -28,7 +28,9 @@
 BAD_REQUEST = 400
 UNAUTHORIZED = 401
 CONFLICT = 409
+TOO_EARLY = 425
 UNAVAILABLE = 503
+STATUS_BY_REASON = {"invalid_document": BAD_REQUEST, "entry_behind": TOO_EARLY}
 BEARER = "Bearer "
 
 
@@ -143,7 +145,7 @@
         result = await self.entry.publisher.publish(proposal)
         if isinstance(result, Err):
             failure = result.err_value
-            status = UNAVAILABLE if failure.is_open else BAD_REQUEST
+            status = UNAVAILABLE if failure.is_open else STATUS_BY_REASON[failure.reason]
             return reply(Answer(reason=failure.reason, detail=failure.detail), status=status)
         return self._tell_verdict(proposal, result.ok_value)
 
