Look up the document's types once, not for each input of a form

Cause: the forms and the checks asked msgspec for a struct's fields at each use, which resolves their types anew; a page of 190 tenants held up the entry's event loop, and with it heartbeats and leases, for as long as it took. Every document was also checked twice.

Change: fields and their notes are cached by type; a document is walked field by field only after its fast check has failed.

Ruled out: rendering in a thread (it holds the interpreter's lock all the same).

--- a/zincwell/checking.py
+++ b/zincwell/checking.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import functools
 from collections.abc import Iterator, Sequence
 from typing import Any, Literal, get_args, get_origin
 
@@ -72,6 +73,12 @@
     return []
 
 
+@functools.cache
+def list_fields(struct: type[Struct]) -> tuple[msgspec.structs.FieldInfo, ...]:
+    """Return the fields of a struct; msgspec finds their types anew at each call."""
+    return msgspec.structs.fields(struct)
+
+
 def is_struct(type_: Any) -> bool:
     """Tell whether a type is a msgspec struct."""
     return isinstance(type_, type) and issubclass(type_, Struct)
@@ -81,7 +88,7 @@
     if not isinstance(value, dict):
         yield Fault(path=path, message=f"Expected a table, got {_show(value)}")
         return
-    fields = msgspec.structs.fields(type_)
+    fields = list_fields(type_)
     names = [field.encode_name for field in fields]
     for name in value:
         if name not in names:
--- a/zincwell/document.py
+++ b/zincwell/document.py
@@ -4,7 +4,7 @@
 
 import enum
 from collections.abc import Iterator
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 from msgspec import Meta, Struct
@@ -128,20 +128,26 @@
 
     :raises DocumentError: naming each field that is wrong.
     """
-    faults = list(find_document_faults(value))
-    if faults:
-        raise DocumentError("; ".join(str(fault) for fault in faults))
     try:
-        return msgspec.convert(value, Document)
+        document = msgspec.convert(value, Document)
     except msgspec.ValidationError as error:
-        raise DocumentError(str(error)) from error
+        faults = list(find_document_faults(value))
+        raise DocumentError("; ".join(map(str, faults)) or str(error)) from error
+    faults = list(_find_mismatches(value))
+    if faults:
+        raise DocumentError("; ".join(map(str, faults)))
+    return document
 
 
 def find_document_faults(value: object) -> Iterator[Fault]:
     """Yield everything that is wrong in a document, by field."""
     yield from find_faults(value, Document)
-    if not isinstance(value, dict):
-        return
+    if isinstance(value, dict):
+        yield from _find_mismatches(value)
+
+
+def _find_mismatches(value: dict[str, Any]) -> Iterator[Fault]:
+    """Yield what is wrong between fields that are each allowed."""
     pools, services = value.get("pools"), value.get("services")
     if isinstance(pools, dict) and isinstance(services, dict):
         yield from _find_unknown_pools(pools, services)
--- a/zincwell/listeners/_forms.py
+++ b/zincwell/listeners/_forms.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copy
+import functools
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Annotated, Any, get_args, get_origin
@@ -10,7 +11,7 @@
 import msgspec
 from msgspec import Struct
 
-from zincwell.checking import Fault, check_value
+from zincwell.checking import Fault, check_value, list_fields
 from zincwell.document import Document, Retries, find_document_faults
 from zincwell.models import Name
 from zincwell.reference import FieldNote, inner_struct, list_notes
@@ -59,7 +60,7 @@
     name: str
     title: str
     hint: str
-    notes: list[FieldNote]
+    notes: tuple[FieldNote, ...]
     rows: list[RowView]
     faults: int
 
@@ -86,7 +87,7 @@
     title, hint = TITLE_BY_SECTION[name]
     error_by_path = {fault.path: fault.message for fault in faults}
     if name == GENERAL:
-        rows, notes = [_general_row(document, error_by_path)], []
+        rows, notes = [_general_row(document, error_by_path)], ()
     else:
         struct = _struct_of(name)
         notes = list_notes(struct)
@@ -213,8 +214,9 @@
     return inner_struct(_fields_of(Document)[section].type)
 
 
+@functools.cache
 def _fields_of(struct: type[Struct]) -> dict[str, msgspec.structs.FieldInfo]:
-    return {one.name: one for one in msgspec.structs.fields(struct)}
+    return {one.name: one for one in list_fields(struct)}
 
 
 def _type_at(path: tuple[str, ...]) -> Any:
--- a/zincwell/reference.py
+++ b/zincwell/reference.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import enum
+import functools
 import re
 from collections.abc import Iterator
 from typing import Annotated, Any, get_args, get_origin
@@ -13,7 +14,7 @@
 import msgspec
 from msgspec import NODEFAULT, Meta, Struct
 
-from zincwell.checking import is_struct, list_choices
+from zincwell.checking import is_struct, list_choices, list_fields
 from zincwell.document import Document
 from zincwell.settings import Settings
 
@@ -57,10 +58,11 @@
     choices: list[str] = []
 
 
-def list_notes(struct: type[Struct]) -> list[FieldNote]:
+@functools.cache
+def list_notes(struct: type[Struct]) -> tuple[FieldNote, ...]:
     """Return what is said of each plain field of a struct."""
     meaning_by_name = read_meanings(struct)
-    return [
+    return tuple(
         FieldNote(
             name=field.name,
             type=describe_type(field.type),
@@ -68,9 +70,9 @@
             meaning=meaning_by_name.get(field.name, ""),
             choices=list_choices(field.type),
         )
-        for field in msgspec.structs.fields(struct)
+        for field in list_fields(struct)
         if inner_struct(field.type) is None
-    ]
+    )
 
 
 def read_meanings(struct: type[Struct]) -> dict[str, str]:
@@ -137,7 +139,7 @@
 
 def _describe_tables(struct: type[Struct]) -> Iterator[str]:
     yield from _describe_table("at the top", struct)
-    for field in msgspec.structs.fields(struct):
+    for field in list_fields(struct):
         inner = inner_struct(field.type)
         if inner is not None:
             yield from _describe_table(_heading(field), inner)
