--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,7 +8,9 @@
 import aiohttp
 import pytest
 
+from tests.browser import Browser
 from tests.cluster import Cluster
+from tests.lone import TOKEN, LoneEntry, open_lone_entry
 
 
 @pytest.fixture
@@ -20,3 +22,27 @@
             yield cluster
         finally:
             await cluster.close()
+
+
+@pytest.fixture
+async def lone(tmp_path: Path) -> AsyncIterator[LoneEntry]:
+    """An entry in this process, whose operators need ``TOKEN``."""
+    path = tmp_path / "token.txt"
+    path.write_text(TOKEN)
+    async with open_lone_entry(operator_token_file=str(path)) as lone:
+        yield lone
+
+
+@pytest.fixture
+async def stranger(lone: LoneEntry) -> AsyncIterator[Browser]:
+    """A browser that is not signed in."""
+    jar = aiohttp.CookieJar(unsafe=True)
+    async with aiohttp.ClientSession(cookie_jar=jar) as session:
+        yield Browser(url=lone.url, session=session)
+
+
+@pytest.fixture
+async def browser(stranger: Browser) -> Browser:
+    """A browser that is signed in."""
+    await stranger.sign_in()
+    return stranger
--- a/tests/lone.py
+++ b/tests/lone.py
@@ -11,6 +11,7 @@
 from zincwell.settings import PlatformSettings, Settings, TimingSettings
 from zincwell.standins import StandinDirectory, StandinLog
 
+TOKEN = "a-long-token-of-the-operators"
 WAIT_TIMEOUT_S = 30.0
 POLL_S = 0.01
 DOCUMENT = {
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -18,9 +18,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, ContainsAll, Equals, Not
 
-from tests.lone import DOCUMENT, LoneEntry, open_lone_entry
+from tests.lone import DOCUMENT, TOKEN, LoneEntry, open_lone_entry
 
-TOKEN = "a-long-token-of-the-operators"
 OK, FAILED, USAGE, LOST_RACE, OPEN = 0, 1, 2, 3, 4
 
 
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -1,17 +1,12 @@
-"""The console of forms, through an HTTP client that does what a browser does."""
+"""The console's forms: editing, reviewing, publishing, lost races."""
 
 from __future__ import annotations
 
 import copy
-from collections.abc import AsyncIterator
-from html.parser import HTMLParser
-from pathlib import Path
 
-import aiohttp
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import (
-    AllMatch,
     Contains,
     ContainsAll,
     ContainsDict,
@@ -21,125 +16,14 @@
     StartsWith,
 )
 
-from tests.lone import DOCUMENT, LoneEntry, open_lone_entry
-from zincwell.listeners._sessions import LIFETIME_S, Sessions
-from zincwell.ports import Clock
+from tests.browser import Browser
+from tests.lone import DOCUMENT, LoneEntry
 
-TOKEN = "a-long-token-of-the-operators"
 WEIGHT = "field/tenants/school/weight"
 TARGET = "field/pools/braille/queue_target_ms"
 SCRIPT = "<script>alert(1)</script>"
 
 
-class Form(HTMLParser):
-    """Reads a page: fields by the form's action, the text and what is told as wrong."""
-
-    def __init__(self, html: str):
-        super().__init__()
-        self.fields_by_action: dict[str, dict[str, str]] = {}
-        self.errors: list[str] = []
-        self.tags: list[str] = []
-        self._action = ""
-        self._name = ""
-        self._in_error = False
-        self._in_text = ""
-        self.feed(html)
-
-    def handle_starttag(self, tag: str, attributes: list[tuple[str, str | None]]) -> None:
-        given = dict(attributes)
-        self.tags.append(tag)
-        self._in_error = "error" in (given.get("class") or "").split()
-        fields = self.fields_by_action.setdefault(self._action, {})
-        if tag == "form":
-            self._action = given["action"]
-        elif tag == "input":
-            fields[given["name"]] = given.get("value") or ""
-        elif tag in ("select", "textarea"):
-            self._name = given["name"]
-            self._in_text = tag
-            fields[self._name] = ""
-        elif tag == "option" and "selected" in given:
-            self._in_text = "option"
-
-    def handle_endtag(self, tag: str) -> None:
-        self._in_error = False
-        if tag in ("option", "textarea"):
-            self._in_text = ""
-
-    def handle_data(self, data: str) -> None:
-        if self._in_error and data.strip():
-            self.errors.append(data.strip())
-        if self._in_text in ("option", "textarea"):
-            self.fields_by_action[self._action][self._name] += data
-
-
-class Page(Form):
-    """One answer."""
-
-    def __init__(self, *, status: int, headers: dict, text: str, url: str):
-        self.status, self.headers, self.text, self.url = status, headers, text, url
-        super().__init__(text)
-
-    def fields(self, action: str) -> dict[str, str]:
-        return self.fields_by_action[f"/console/{action}"]
-
-
-class Browser:
-    """Keeps cookies, follows redirects and posts forms."""
-
-    def __init__(self, *, url: str, session: aiohttp.ClientSession):
-        self.url, self.session = url, session
-
-    async def get(self, path: str) -> Page:
-        async with self.session.get(self.url + path) as response:
-            return await self._page(response)
-
-    async def post(self, path: str, fields: dict[str, str], **changes: str) -> Page:
-        form = {**fields, **changes}
-        async with self.session.post(f"{self.url}/console/{path}", data=form) as response:
-            return await self._page(response)
-
-    async def sign_in(self, *, name: str = "juma", token: str = TOKEN) -> Page:
-        return await self.post("sign-in", {"name": name, "token": token})
-
-    async def open_section(self, section: str) -> Page:
-        return await self.get(f"/console/edit?section={section}")
-
-    async def review(self, shown: Page, **changes: str) -> Page:
-        """Type into the form that is shown and press the button for the review."""
-        return await self.post("edit", shown.fields("edit"), action="review", **changes)
-
-    async def _page(self, response: aiohttp.ClientResponse) -> Page:
-        return Page(
-            status=response.status,
-            headers=dict(response.headers),
-            text=await response.text(),
-            url=response.url.path_qs,
-        )
-
-
-@pytest.fixture
-async def lone(tmp_path: Path) -> AsyncIterator[LoneEntry]:
-    path = tmp_path / "token.txt"
-    path.write_text(TOKEN)
-    async with open_lone_entry(operator_token_file=str(path)) as lone:
-        yield lone
-
-
-@pytest.fixture
-async def stranger(lone: LoneEntry) -> AsyncIterator[Browser]:
-    """A browser that is not signed in."""
-    jar = aiohttp.CookieJar(unsafe=True)
-    async with aiohttp.ClientSession(cookie_jar=jar) as session:
-        yield Browser(url=lone.url, session=session)
-
-
-@pytest.fixture
-async def browser(stranger: Browser) -> Browser:
-    await stranger.sign_in()
-    return stranger
-
-
 async def test_edit_review_publish(lone: LoneEntry, browser: Browser):
     shown = await browser.open_section("tenants")
     review = await browser.review(shown, **{WEIGHT: "4.5"})
@@ -393,109 +277,6 @@
     assert_that(review.fields_by_action, Not(Contains("/console/publish")))
 
 
-async def test_without_a_session_each_page_leads_to_the_sign_in(lone: LoneEntry, stranger: Browser):
-    pages = [await stranger.get(path) for path in ("/console", "/console/edit")]
-    pages += [
-        await stranger.post(path, {"draft": "{}"})
-        for path in ("edit", "publish", "rebase", "sign-out")
-    ]
-
-    urls = [page.url for page in pages]
-    assert_that(urls, AllMatch(Equals("/console/sign-in")))
-    assert_that(lone.entry.configuration.version, Equals(0))
-
-
-async def test_wrong_token_or_name_at_the_sign_in(stranger: Browser):
-    wrong = await stranger.sign_in(token="wrong")
-    unnamed = await stranger.sign_in(name=SCRIPT)
-    after = await stranger.get("/console")
-
-    assert_that(
-        (wrong.status, wrong.errors), Equals((401, ["The token is not the operators' token."]))
-    )
-    assert_that(wrong.fields("sign-in")["name"], Equals("juma"))
-    assert_that(unnamed.status, Equals(401))
-    assert_that(unnamed.text, Not(Contains(SCRIPT)))
-    assert_that(after.url, Equals("/console/sign-in"))
-
-
-async def test_form_without_its_token_is_refused(lone: LoneEntry, browser: Browser):
-    """A form that this session was not given changes nothing.
-
-    Symptom: a change that its operator does not know of. Sequence: a signed-in operator opens
-    a page of someone else's, which posts to the console. Cause: the browser adds the cookie.
-    """
-    review = await browser.review(await browser.open_section("tenants"), **{WEIGHT: "4.5"})
-    fields = review.fields("publish")
-    other = Sessions(token=TOKEN, clock=lone.entry.clock)
-    for csrf in ("", "wrong", other.make_form_token(other.begin("juma"))):
-        for path in ("edit", "publish", "rebase", "sign-out"):
-            refused = await browser.post(path, fields, csrf=csrf)
-            assert_that(refused.status, Equals(403))
-    del fields["csrf"]
-    missing = await browser.post("publish", fields)
-
-    assert_that(missing.status, Equals(403))
-    assert_that(lone.entry.configuration.version, Equals(0))
-
-
-async def test_sign_out(browser: Browser):
-    overview = await browser.get("/console")
-    await browser.post("sign-out", overview.fields("sign-out"))
-
-    assert_that((await browser.get("/console")).url, Equals("/console/sign-in"))
-
-
-async def test_session_of_one_entry_is_good_at_another(
-    lone: LoneEntry, browser: Browser, tmp_path: Path
-):
-    """The balancer may send each call to another entry, and entries keep nothing."""
-    shown = await browser.open_section("tenants")
-    async with open_lone_entry(operator_token_file=str(tmp_path / "token.txt")) as other:
-        elsewhere = Browser(url=other.url, session=browser.session)
-        review = await elsewhere.review(shown, **{WEIGHT: "4.5"})
-        done = await elsewhere.post("publish", review.fields("publish"))
-
-        assert_that(done.url, Equals("/console?published=1"))
-        assert_that(other.entry.configuration.version, Equals(1))
-
-
-async def test_session_does_not_open_the_calls_of_programs(lone: LoneEntry, browser: Browser):
-    async with browser.session.get(lone.url + "/status") as response:
-        assert_that(response.status, Equals(401))
-    async with browser.session.post(lone.url + "/v1/drain") as response:
-        assert_that(response.status, Equals(401))
-    assert_that(lone.entry.drain_asked.is_set(), Equals(False))
-
-
-async def test_headers_and_cookie(lone: LoneEntry, browser: Browser):
-    pages = [await browser.get(f"/console{path}") for path in ("", "/edit", "/sign-in")]
-    pages.append(await browser.post("publish", {}))
-    pages.append(await browser.get("/console/style.css"))
-
-    for page in pages:
-        assert_that(page.headers["Content-Security-Policy"], StartsWith("default-src 'none'"))
-        assert_that(page.headers["X-Frame-Options"], Equals("DENY"))
-        assert_that(page.headers["Cache-Control"], Equals("no-store"))
-        assert_that(page.headers["X-Content-Type-Options"], Equals("nosniff"))
-        assert_that(page.tags, Not(Contains("script")))
-    cookie = pages[0].headers["Set-Cookie"]
-    assert_that(cookie, ContainsAll(["HttpOnly", "SameSite=Strict", "Path=/console"]))
-    assert_that(cookie + "".join(page.text for page in pages), Not(Contains(TOKEN)))
-
-
-async def test_text_of_others_is_escaped(lone: LoneEntry, browser: Browser):
-    await lone.log._store(
-        "config",
-        {"kind": "change", "id": "x", "base": 0, "patch": {}, "by": SCRIPT, "note": SCRIPT},
-    )
-    await lone.publish({"tenants": {"radio": {}}}, change_id="next")
-    overview = await browser.get("/console")
-
-    assert_that(overview.text, Contains("&lt;script&gt;"))
-    assert_that(overview.text, Not(Contains(SCRIPT)))
-
-
 @pytest.mark.parametrize("draft", ["", "{}", "[" * 5000, '{"base":0,"before":{},"document":7}'])
 async def test_form_without_a_draft(browser: Browser, draft: str):
     fields = (await browser.open_section("tenants")).fields("edit")
@@ -516,63 +297,3 @@
 
 async def test_unknown_section_is_refused(browser: Browser):
     assert_that((await browser.open_section("nowhere")).status, Equals(400))
-
-
-async def test_without_a_token_pages_of_other_sites_are_refused():
-    """On a loopback address without a token, only the machine's own user gets in.
-
-    Symptom: a change that nobody made. Sequence: the user's browser shows a stranger's page,
-    which posts to the loopback address, or has its own name resolved to it. Cause: whoever
-    comes from the machine itself is trusted.
-    """
-    async with open_lone_entry() as lone, aiohttp.ClientSession() as session:
-        port = lone.url.rpartition(":")[2]
-        for headers in (
-            {"Origin": "http://evil.example"},
-            {"Origin": "null"},
-            {"Host": f"evil.example:{port}"},
-        ):
-            for path in ("/v1/drain", "/console/sign-in"):
-                async with session.post(lone.url + path, headers=headers) as response:
-                    assert_that(response.status, Equals(403))
-        async with session.post(
-            lone.url + "/console/sign-in",
-            data={"name": "juma"},
-            headers={"Origin": lone.url},
-            allow_redirects=False,
-        ) as response:
-            assert_that(response.headers["Location"], Equals("/console"))
-        assert_that(lone.entry.drain_asked.is_set(), Equals(False))
-
-
-class FixedClock(Clock):
-    """A clock that stands where it was put."""
-
-    def __init__(self, *, now: float):
-        self.now = now
-
-    def monotonic(self) -> float:
-        return self.now
-
-    def wall(self) -> float:
-        return self.now
-
-
-def test_cookie_ends_and_can_not_be_made_up():
-    clock = FixedClock(now=1_000_000.0)
-    sessions = Sessions(token=TOKEN, clock=clock)
-    session = sessions.begin("juma")
-    cookie = sessions.make_cookie(session)
-    name, nonce, expires, signature = cookie.split("~")
-    forged = [
-        "",
-        "~~~",
-        f"asha~{nonce}~{expires}~{signature}",
-        f"{name}~{nonce}~{int(expires) + 1}~{signature}",
-        Sessions(token="another", clock=clock).make_cookie(session),
-    ]
-
-    assert_that(sessions.read_cookie(cookie), Equals(session))
-    assert_that([sessions.read_cookie(one) for one in forged], AllMatch(Equals(None)))
-    clock.now += LIFETIME_S + 1
-    assert_that(sessions.read_cookie(cookie), Equals(None))
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -17,6 +17,7 @@
 from testtools.matchers import AllMatch, Contains, ContainsAll, Equals, StartsWith
 
 from tests.cluster import Cluster
+from tests.lone import TOKEN
 from tests.samples import make_submission
 from tests.test_cli import FAILED, OK, run
 from zincwell.adapters import HttpPeerTransport, make_client_tls
@@ -31,7 +32,6 @@
     "tls_key": str(CERTIFICATES / "listener.key"),
 }
 PEER_KEY = "a-long-key-of-the-peers"
-TOKEN = "a-long-token-of-the-operators"
 
 
 @pytest.fixture
