Take a worker out of its pool when the list names another

Cause: a pool dropped only workers that the list had lost altogether. A worker moved to another pool stood in both; when it left the list, dropping it a second time raised KeyError in the task that follows the list of VMs, which ended for good.

Change: a pool keeps only the workers that the list names for it.

Shown: tests/test_pools.py, 1 failed before (KeyError), 1 passed after.

--- /dev/null
+++ b/tests/test_pools.py
@@ -0,0 +1,47 @@
+"""Workers that the platform's list moves between pools."""
+
+from __future__ import annotations
+
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from tests.lone import LoneEntry, open_lone_entry
+from zincwell.ports import Vm
+
+
+def row(pool: str) -> Vm:
+    return Vm(
+        vm="worker-0",
+        role="worker",
+        domain="kariakoo",
+        url="http://127.0.0.1:1",
+        pool=pool,
+        slots=8,
+    )
+
+
+def workers_by_pool(lone: LoneEntry) -> dict[str, list[str]]:
+    pools = lone.entry.dispatcher.pool_by_name.values()
+    return {pool.name: list(pool.worker_by_name) for pool in pools}
+
+
+async def test_worker_that_changes_its_pool_stands_in_one():
+    """A worker that is moved to another pool leaves the first, and can leave the list later.
+
+    Symptom: an entry no longer learns of leaving workers, and sends tasks of one pool to a
+    worker of another. Sequence: the list names another pool for a worker; later it leaves the
+    list. Cause: a pool drops only workers that the list has lost altogether; the second pool's
+    lane replaces the first one's, and dropping the worker twice raises in the watcher's task,
+    which ends for good.
+    """
+    async with open_lone_entry() as lone:
+        await lone.publish({"pools": {"print": {}}}, change_id="print")
+        dispatcher = lone.entry.dispatcher
+        dispatcher.take_workers([row("braille")])
+
+        dispatcher.take_workers([row("print")])
+        moved = workers_by_pool(lone)
+        dispatcher.take_workers([])
+
+        assert_that(moved, Equals({"braille": [], "print": ["worker-0"]}))
+        assert_that(workers_by_pool(lone), Equals({"braille": [], "print": []}))
--- a/zincwell/core/_dispatch.py
+++ b/zincwell/core/_dispatch.py
@@ -81,7 +81,8 @@
         """Take the list of workers of our domain."""
         wanted = {vm.vm: vm for vm in vms if vm.pool in self.pool_by_name}
         for pool in self.pool_by_name.values():
-            for name in [name for name in pool.worker_by_name if name not in wanted]:
+            kept = {vm.vm for vm in wanted.values() if vm.pool == pool.name}
+            for name in [name for name in pool.worker_by_name if name not in kept]:
                 self._drop_worker(pool, name)
         for vm in wanted.values():
             pool = self.pool_by_name[vm.pool]
