Measure slopes of cost by tasks, claims, memory and configuration (first form)

Cause: docs/CAPACITY.md needs costs by size that anyone can measure again. Change: python -m bench slopes NAME; each measurement repeats, with median and spread.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -9,6 +9,7 @@
 
 from bench.driver import Report, Size, run_scenario, write_report
 from bench.scenarios import SCENARIOS
+from bench.slopes import RESULTS, measure
 
 OUT = Path(__file__).parent / "out"
 HEADER = (
@@ -24,6 +25,16 @@
         """Print the names of all scenarios."""
         print("\n".join(SCENARIOS))
 
+    def slopes(self, *names: str, runs: int = 3, out: str = "") -> None:
+        """Measure slopes of cost by size, all unless some are named; see docs/CAPACITY.md.
+
+        Args:
+            names: measurements to make.
+            runs: number of runs of each.
+            out: folder for the results.
+        """
+        measure(names, runs=runs, folder=Path(out) if out else RESULTS)
+
     def run(self, *names: str, seed: int = 1, baseline: bool = True, out: str = "") -> None:
         """Run scenarios, all unless some are named, each with the baseline in the same run.
 
