Measure slopes of memory, folding, upkeep and tasks, and store them

Cause: docs/CAPACITY.md needs costs by size that anyone can measure again. Ruled out: /proc/PID/stat for processor time (ticks of 10 ms, too coarse for an idle entry), so the clock of the process is read; one process per worker (325 of them), so one process stands for many rows of the list of VMs.

--- a/bench/_slopes_cluster.py
+++ b/bench/_slopes_cluster.py
@@ -8,7 +8,7 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -88,15 +88,31 @@
 
     async def open_many(self) -> None:
         """Start the process that stands for many workers."""
-        self.many = await self._start("many", "-m", "bench._slopes_worker", "--slots", str(SLOTS))
+        self.many = await self.start_many()
         self.many_relay = await self._relay(self.many.fields["url"])
 
+    async def start_many(self) -> Process:
+        """Start one more process that stands for many workers."""
+        return await self._start("many", "-m", "bench._slopes_worker", "--slots", str(SLOTS))
+
     async def set_rows(
-        self, domain: str, count: int, *, slots: int = SLOTS, counted: bool = False
+        self,
+        domain: str,
+        count: int,
+        *,
+        slots: int = SLOTS,
+        counted: bool = False,
+        more: Sequence[Process] = (),
     ) -> None:
-        """Have so many workers of a domain in the list of VMs, all of them the one process."""
-        await self.control(self.many, slots=slots)
-        url = self.many_relay.url if counted else self.many.fields["url"]
+        """Have so many workers of a domain in the list of VMs, all of them the one process.
+
+        :param more: further processes that stand for many workers, to share the work.
+        """
+        processes = [self.many, *more]
+        for process in processes:
+            await self.control(process, slots=slots)
+        urls = [process.fields["url"] for process in processes]
+        urls = [self.many_relay.url] if counted else urls
         directory = self.directory.fields["url"]
         for number in range(count):
             vm = f"worker-{domain}-{number:04}"
@@ -104,7 +120,7 @@
                 "vm": vm,
                 "role": "worker",
                 "domain": domain,
-                "url": url,
+                "url": urls[number % len(urls)],
                 "pool": "braille",
                 "rack": f"rack-{number // 6:03}",
                 "slots": slots,
@@ -113,8 +129,8 @@
             }
             await self.put(f"{directory}/vms/{vm}", row)
         for number in range(count, self.rows.get(domain, 0)):
-            url = f"{directory}/vms/worker-{domain}-{number:04}"
-            async with self.session.delete(url) as response:
+            row_url = f"{directory}/vms/worker-{domain}-{number:04}"
+            async with self.session.delete(row_url) as response:
                 await response.read()
         self.rows[domain] = count
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -20,7 +20,9 @@
 from bench._slopes_figures import Figure, Sample, summarize
 from bench._slopes_memory import measure_base, measure_memory
 from bench._slopes_nodes import measure_list, measure_nodes
+from bench._slopes_operators import measure_operators, measure_upkeep
 from bench._slopes_recovery import measure_recovery
+from bench._slopes_saturation import measure_saturation
 from bench._slopes_tasks import measure_answers, measure_tasks
 
 RESULTS = Path(__file__).parent / "results"
@@ -29,6 +31,7 @@
 #: What can be measured, by name.
 MEASURES: dict[str, Callable[[], Awaitable[list[Sample]]]] = {
     "tasks": measure_tasks,
+    "saturation": measure_saturation,
     "answers": measure_answers,
     "claims": measure_claims,
     "handover": measure_handover,
@@ -39,6 +42,8 @@
     "fold": measure_fold,
     "changes": measure_changes,
     "recovery": measure_recovery,
+    "operators": measure_operators,
+    "upkeep": measure_upkeep,
 }
 
 
