--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -78,6 +78,11 @@
     return Scenario(name=name, streams=streams, document=document, domain="kariakoo")
 
 
+def no_flood() -> Scenario:
+    """What the tenant of the flood that does not flood has when it is alone."""
+    return Scenario(name="no-flood", streams=flood().streams[:1])
+
+
 def with_fault(name: str, fault: Fault, *, load: float = 0.5) -> Scenario:
     """Even load with one fault after a third of the run."""
     return Scenario(name=name, streams=steady(load).streams, faults=[(0.33, fault)])
@@ -126,6 +131,7 @@
         steady(0.8),
         burst(),
         flood(),
+        no_flood(),
         one_domain_burst("one-domain-burst", spill=True),
         one_domain_burst("one-domain-burst-alone", spill=False),
         with_fault("entry-killed", kill_entry),
--- a/zincwell/core/_admission.py
+++ b/zincwell/core/_admission.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import abc
-from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -25,14 +24,6 @@
 QUOTA_RETRY_MS = 500
 FULL_RETRY_MS = 1_000
 
-#: Gains and period of the delay controller, after PIE (Pan et al., HPSR 2013) as used by
-#: Laki et al., "Take your own share of the PIE" (ANRW 2017): refuse below a value threshold
-#: that is the percentile, at the drop probability, of the values seen lately.
-PROPORTIONAL_GAIN = 0.125
-INTEGRAL_GAIN = 1.25
-CONTROL_PERIOD_S = 0.032
-VALUES_KEPT = 512
-
 
 @dataclass(frozen=True, kw_only=True)
 class Refusal:
@@ -46,34 +37,22 @@
     retry_after_ms: int | None = None
 
 
-@dataclass(frozen=True, kw_only=True)
-class Offer:
-    """Work at arrival, as the rules look at it.
-
-    :ivar limit_ms: longest queueing delay that is of use to it.
-    :ivar wait_ms: expected queueing delay now.
-    :ivar value: worth by its tenant's weight against what the tenant has queued; the more a
-        tenant has queued for its weight, the less one more of its jobs is worth.
-    """
-
-    limit_ms: float
-    wait_ms: float
-    value: float
-    now: float
-
-
 class DelayRule(abc.ABC):
     """Decides by the queueing delay."""
 
     @abc.abstractmethod
-    def admits(self, offer: Offer) -> bool:
-        """Tell whether work is taken in."""
+    def admits(self, *, wait_s: float, limit_s: float) -> bool:
+        """Tell whether work is taken in.
+
+        :param wait_s: expected wait for its first start, in seconds.
+        :param limit_s: longest wait that is of use to it, in seconds.
+        """
 
 
 class BoundedQueue(DelayRule):
-    """Takes in all; only the bound on queued tasks refuses. The baseline."""
+    """Takes in all; only the bound on queued tasks refuses."""
 
-    def admits(self, offer: Offer) -> bool:
+    def admits(self, *, wait_s: float, limit_s: float) -> bool:
         """Tell whether work is taken in."""
         return True
 
@@ -81,48 +60,9 @@
 class Feasible(DelayRule):
     """Takes in what can be started before its limit."""
 
-    def admits(self, offer: Offer) -> bool:
+    def admits(self, *, wait_s: float, limit_s: float) -> bool:
         """Tell whether work is taken in."""
-        return offer.wait_ms <= offer.limit_ms
-
-
-class DelayController(DelayRule):
-    """Holds the delay at a target by refusing the least valuable of what comes.
-
-    :param target_ms: returns the queueing delay to hold.
-    """
-
-    def __init__(self, *, target_ms: Callable[[], float]):
-        self._target_ms = target_ms
-        self._probability = 0.0
-        self._last_wait_s = 0.0
-        self._updated_at = 0.0
-        self._values: deque[float] = deque(maxlen=VALUES_KEPT)
-
-    def admits(self, offer: Offer) -> bool:
-        """Tell whether work is taken in."""
-        self._values.append(offer.value)
-        self._update(offer)
-        if offer.wait_ms > 2 * max(offer.limit_ms, self._target_ms()):
-            return False
-        return offer.value >= self._threshold()
-
-    def _update(self, offer: Offer) -> None:
-        if offer.now - self._updated_at < CONTROL_PERIOD_S:
-            return
-        wait_s = offer.wait_ms / 1000
-        error_s = wait_s - self._target_ms() / 1000
-        change = PROPORTIONAL_GAIN * error_s + INTEGRAL_GAIN * (wait_s - self._last_wait_s)
-        self._probability = min(1.0, max(0.0, self._probability + change))
-        self._last_wait_s = wait_s
-        self._updated_at = offer.now
-
-    def _threshold(self) -> float:
-        if self._probability * len(self._values) < 1:
-            return 0.0
-        ranked = sorted(self._values)
-        place = min(int(self._probability * len(ranked)), len(ranked) - 1)
-        return ranked[place]
+        return wait_s <= limit_s
 
 
 class Turns:
@@ -168,7 +108,6 @@
         self._queued_by_tenant = queued_by_tenant
         self._peer_loads = peer_loads
         self._turns = Turns()
-        self._rule_by_pool: dict[str, tuple[AdmissionKind, DelayRule]] = {}
 
     def check(self, job: Job, *, document: Document, pool: Pool) -> Refusal | None:
         """Return why a job is refused, or None if it is admitted."""
@@ -180,7 +119,7 @@
             self._check_fit(job, pool)
             or self._check_quota(job, rules)
             or self._check_room(job, pool)
-            or self._check_delay(job, pool, rules, document)
+            or self._check_delay(job, pool, document)
         )
 
     def _check_fit(self, job: Job, pool: Pool) -> Refusal | None:
@@ -213,21 +152,12 @@
             return Refusal(reason="no_worker", detail=detail, retry_after_ms=FULL_RETRY_MS)
         return None
 
-    def _check_delay(
-        self, job: Job, pool: Pool, rules: Tenant, document: Document
-    ) -> Refusal | None:
+    def _check_delay(self, job: Job, pool: Pool, document: Document) -> Refusal | None:
         """Refuse what would wait longer than is of use to it."""
         now = self._clock.monotonic()
         wait_s = pool.queue.expected_wait_s(job, slots=self._own_slots(pool))
         limit_s = self._limit_s(job, pool, document, now)
-        queued = pool.queue.size_by_tenant.get(job.tenant, 0)
-        offer = Offer(
-            limit_ms=limit_s * 1000,
-            wait_ms=wait_s * 1000,
-            value=rules.weight / (1 + queued),
-            now=now,
-        )
-        if self._rule(pool).admits(offer):
+        if RULES[pool.rules.admission].admits(wait_s=wait_s, limit_s=limit_s):
             return None
         work_s = len(job.tasks) * self._run_times.expected_s(job.service) / pool.slots()
         back_s = self._turns.take(
@@ -248,18 +178,9 @@
         waiting = sum(1 for load in self._peer_loads() if load.queued_by_pool.get(pool.name, 0))
         return pool.slots() / (1 + waiting)
 
-    def _rule(self, pool: Pool) -> DelayRule:
-        kind = pool.rules.admission
-        known = self._rule_by_pool.get(pool.name)
-        if known is None or known[0] is not kind:
-            known = (kind, _make_rule(kind, pool))
-            self._rule_by_pool[pool.name] = known
-        return known[1]
-
-
-def _make_rule(kind: AdmissionKind, pool: Pool) -> DelayRule:
-    if kind is AdmissionKind.BOUNDED:
-        return BoundedQueue()
-    if kind is AdmissionKind.CONTROLLED:
-        return DelayController(target_ms=lambda: pool.rules.queue_target_ms)
-    return Feasible()
+
+#: Neither rule keeps a state.
+RULES: dict[AdmissionKind, DelayRule] = {
+    AdmissionKind.BOUNDED: BoundedQueue(),
+    AdmissionKind.FEASIBLE: Feasible(),
+}
--- a/zincwell/document.py
+++ b/zincwell/document.py
@@ -29,13 +29,11 @@
     """How queueing delay is limited at arrival.
 
     ``bounded`` takes in all up to a bound on queued tasks; ``feasible`` takes in what can
-    start before its limit; ``controlled`` holds the delay at the target by refusing the least
-    valuable of what comes.
+    start before its limit.
     """
 
     BOUNDED = "bounded"
     FEASIBLE = "feasible"
-    CONTROLLED = "controlled"
 
 
 class Service(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
