--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -38,8 +38,16 @@
 #: Pages that land by other changes; to be emptied once they are there.
 LANDING = {"proofs.md"}
 TOML = re.compile(r"```toml\n(.*?)```", re.DOTALL)
-MAKES_REASONS = {"_callers", "_submissions", "_admission", "_home", "_ownership", "_dispatch"}
-TAKES_REASON = {"_not_ready", "_unknown", "give_up", "_end"}
+MAKES_REASONS = {
+    "_owners",
+    "_callers",
+    "_submissions",
+    "_admission",
+    "_home",
+    "_ownership",
+    "_dispatch",
+}
+TAKES_REASON = {"_not_ready", "unknown", "not_run", "give_up", "_end"}
 LINK = re.compile(r"\]\(([^)#]+)(?:#[^)]*)?\)")
 PATH = re.compile(r"`((?:zincwell|tests|bench|docs)/[\w./*-]+)`")
 
--- a/tests/test_operators_guide.py
+++ b/tests/test_operators_guide.py
@@ -15,9 +15,9 @@
 PLACE_BY_FUNCTION = {
     "_end": 2,
     "_not_ready": 0,
-    "_not_run": 1,
+    "not_run": 1,
     "_retry": 2,
-    "_unknown": 1,
+    "unknown": 1,
     "call_later": 3,
     "give_up": 1,
 }
--- a/zincwell/admin.py
+++ b/zincwell/admin.py
@@ -10,10 +10,11 @@
 
 from zincwell.adapters import make_client_tls
 from zincwell.core._publishing import Proposal
-from zincwell.entry import Status, read_secret
 from zincwell.exceptions import AdminError, OpenChangeError
 from zincwell.listeners import CheckReply, ConfigReply, PublishReply
 from zincwell.models import Answer
+from zincwell.settings import read_secret
+from zincwell.status import Status
 
 TIMEOUT_S = 15.0
 HTTP_OK = 200
--- a/zincwell/core/_submissions.py
+++ b/zincwell/core/_submissions.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable
 
 import msgspec
-from msgspec import Raw
 from result import Err, Ok, Result
 
 from zincwell.core._admission import Admission, Refusal
+from zincwell.core._answers import attach_reply_of, not_run, reused, unknown
 from zincwell.core._dispatch import Dispatcher
 from zincwell.core._jobs import Job, JobBook, digest_of, full_key
 from zincwell.core._membership import Membership, Seat
@@ -26,22 +26,19 @@
     Intent,
     OwnedKey,
 )
+from zincwell.core._owners import Owners
 from zincwell.core._ownership import Ownership
 from zincwell.core._peers import Peers
-from zincwell.exceptions import PeerUnavailableError
 from zincwell.models import Answer, Outcome, Request, Submission, TaskSpec
 from zincwell.ports import Clock
 from zincwell.settings import TimingSettings
 
-ATTACH_WAIT_S = 1.0
-ATTACH_TIMEOUT_S = 2.0
-ATTACH_PATIENCE_S = 2.0
-OWNER_RETRY_MS = 1_000
+CONFIGURATION_RETRY_MS = 1_000
 DRAIN_RETRY_MS = 100
 NO_CONFIGURATION = Refusal(
     reason="no_configuration",
     detail="this entry has no configuration yet",
-    retry_after_ms=OWNER_RETRY_MS,
+    retry_after_ms=CONFIGURATION_RETRY_MS,
 )
 
 log = logging.getLogger("zincwell.submissions")
@@ -65,9 +62,8 @@
         observe_refusal: Callable[[str, str, str], None],
     ):
         self._seat = seat
-        self._membership = membership
         self._ownership = ownership
-        self._peers = peers
+        self._owners = Owners(peers=peers, membership=membership, clock=clock)
         self._book = book
         self._dispatcher = dispatcher
         self._admission = admission
@@ -137,8 +133,8 @@
             Claim(key=name, created_at=created_at, intent=Intent.LOOK_UP)
         )
         if reply.kind is not ClaimKind.OWNED:
-            return _unknown(key, reply.reason or "unknown_key", reply.retry_after_ms)
-        return await self._attach_once(name, reply)
+            return unknown(key, reply.reason or "unknown_key", reply.retry_after_ms)
+        return await self._owners.look_up(key, name, reply)
 
     async def cancel(self, *, key: str, tenant: str, created_at: float) -> Answer | None:
         """Cancel a submission; return its answer, or None if it can't be reached now."""
@@ -151,20 +147,8 @@
             Claim(key=name, created_at=created_at, intent=Intent.LOOK_UP)
         )
         if reply.kind is not ClaimKind.OWNED:
-            return _unknown(key, reply.reason or "unknown_key", reply.retry_after_ms)
-        try:
-            found = await self._peers.call(
-                url=reply.owner.url,
-                path="/peer/cancel",
-                message=CancelCall(key=name, owner=reply.owner.id),
-                reply=AttachReply,
-                timeout_s=ATTACH_TIMEOUT_S,
-            )
-        except PeerUnavailableError:
-            return _unknown(key, "owner_unreachable", OWNER_RETRY_MS)
-        if found.kind is AttachKind.OTHER_RUN:
-            return _unknown(key, "owner_lost", None)
-        return _answer_of(found)
+            return unknown(key, reply.reason or "unknown_key", reply.retry_after_ms)
+        return await self._owners.cancel(key, name, reply)
 
     # -- peers ---------------------------------------------------------------------------
 
@@ -186,7 +170,7 @@
         if call.digest not in (0, job.digest):
             return AttachReply(kind=AttachKind.REUSED)
         await asyncio.wait([job.answer], timeout=call.wait_s)
-        return _reply_of(job)
+        return attach_reply_of(job)
 
     def cancel_owned(self, call: CancelCall) -> AttachReply:
         """Cancel a job that we own for a peer."""
@@ -196,7 +180,7 @@
         if job is None:
             return AttachReply(kind=AttachKind.NEVER_STARTED)
         self._dispatcher.give_up(job, "cancelled")
-        return _reply_of(job)
+        return attach_reply_of(job)
 
     def owned_keys(self) -> list[OwnedKey]:
         """Return all keys that we own, for a new home."""
@@ -250,7 +234,7 @@
         if reply.kind is not ClaimKind.GRANTED:
             return Err(self._explain(submission, reply))
         if reply.serial <= self._book.closed_serial(key):
-            return Err(_unknown(submission.key, "grant_closed", DRAIN_RETRY_MS))
+            return Err(unknown(submission.key, "grant_closed", DRAIN_RETRY_MS))
         self._start(admitted.ok_value, serial=reply.serial)
         return admitted
 
@@ -260,8 +244,8 @@
         Only a caller none of whose attempts can have run is told that it has not run.
         """
         if submission.never_run and reply.kind not in (ClaimKind.UNKNOWN, ClaimKind.STALE):
-            return _not_run(submission.key, reply.reason, reply.retry_after_ms)
-        return _unknown(submission.key, reply.reason, reply.retry_after_ms)
+            return not_run(submission.key, reply.reason, reply.retry_after_ms)
+        return unknown(submission.key, reply.reason, reply.retry_after_ms)
 
     def _admit(self, key: str, submission: Submission) -> Result[Job, Answer]:
         """Make a job of a submission, or an answer that says why it is refused."""
@@ -316,7 +300,7 @@
 
     def _rejoin(self, job: Job, submission: Submission) -> Result:
         if job.digest != digest_of(submission):
-            return Err(_reused(submission.key))
+            return Err(reused(submission.key))
         return Ok(job.answer)
 
     def _can_never_have_run(self, submission: Submission) -> bool:
@@ -341,94 +325,13 @@
                 detail="created_at is later than this entry's clock - at `$.created_at`",
             )
         if submission.created_at < now - self._timing.resubmission_window_s:
-            return _unknown(submission.key, "key_expired", None)
+            return unknown(submission.key, "key_expired", None)
         return None
 
-    # -- following another owner ---------------------------------------------------------
-
     async def _follow(self, key: str, owned: ClaimReply, submission: Submission) -> Answer:
-        """Wait for the answer of another owner, on a new call each second."""
-        owner = owned.owner
-        digest = digest_of(submission)
-        call = AttachCall(
-            key=key, owner=owner.id, serial=owned.serial, wait_s=ATTACH_WAIT_S, digest=digest
-        )
-        lost_at = None
-        while True:
-            try:
-                reply = await self._attach(owner, call)
-            except PeerUnavailableError as error:
-                now = self._clock.monotonic()
-                lost_at = lost_at or now
-                if now - lost_at > ATTACH_PATIENCE_S:
-                    log.info("owner_unreachable", extra={"owner": owner.id, "error": error})
-                    return self._owner_lost(submission.key, owner)
-                await asyncio.sleep(0.1)
-                continue
-            lost_at = None
-            if reply.kind is AttachKind.ANSWER:
-                return _answer_of(reply)
-            if reply.kind is AttachKind.NEVER_STARTED:
-                return await self._claim_disowned(key, owned.serial, submission)
-            if reply.kind is AttachKind.OTHER_RUN:
-                return _unknown(submission.key, "owner_lost", None)
-            if reply.kind is AttachKind.REUSED:
-                return _reused(submission.key)
-
-    async def _claim_disowned(self, key: str, serial: int, submission: Submission) -> Answer:
-        """Become owner of a key whose owner said that it never started it."""
-        self._book.close_serial(key, serial)
+        """Wait for another owner's answer, or own the key if that one never started it."""
+        answer = await self._owners.follow(key, owned, submission)
+        if answer is not None:
+            return answer
+        self._book.close_serial(key, owned.serial)
         return await self.submit(submission)
-
-    def _owner_lost(self, key: str, owner: Seat) -> Answer:
-        gone = not self._membership.is_open(vm=owner.vm, incarnation=owner.incarnation)
-        if gone:
-            return _unknown(key, "owner_lost", None)
-        return _unknown(key, "owner_unreachable", OWNER_RETRY_MS)
-
-    async def _attach(self, owner: Seat, call: AttachCall) -> AttachReply:
-        return await self._peers.call(
-            url=owner.url,
-            path="/peer/attach",
-            message=call,
-            reply=AttachReply,
-            timeout_s=call.wait_s + ATTACH_TIMEOUT_S,
-        )
-
-    async def _attach_once(self, key: str, reply: ClaimReply) -> Answer | None:
-        try:
-            call = AttachCall(key=key, owner=reply.owner.id, serial=reply.serial, wait_s=0.0)
-            found = await self._attach(reply.owner, call)
-        except PeerUnavailableError:
-            return self._owner_lost(key.rpartition("@")[0], reply.owner)
-        if found.kind is AttachKind.OTHER_RUN:
-            return _unknown(key.rpartition("@")[0], "owner_lost", None)
-        return _answer_of(found)
-
-
-def _answer_of(reply: AttachReply) -> Answer | None:
-    if reply.kind is not AttachKind.ANSWER:
-        return None
-    return msgspec.json.decode(reply.answer, type=Answer)
-
-
-def _reply_of(job: Job) -> AttachReply:
-    if not job.is_answered:
-        return AttachReply(kind=AttachKind.PENDING)
-    answer = Raw(msgspec.json.encode(job.answer.result()))
-    return AttachReply(kind=AttachKind.ANSWER, answer=answer)
-
-
-def _reused(key: str) -> Answer:
-    detail = "the key stands for a different submission - at `$.key`"
-    return Answer(key=key, reason="key_reused", detail=detail)
-
-
-def _not_run(key: str, reason: str, retry_after_ms: int | None) -> Answer:
-    return Answer(key=key, outcome=Outcome.NOT_RUN, reason=reason, retry_after_ms=retry_after_ms)
-
-
-def _unknown(key: str, reason: str, retry_after_ms: int | None) -> Answer:
-    return Answer(
-        key=key, outcome=Outcome.OUTCOME_UNKNOWN, reason=reason, retry_after_ms=retry_after_ms
-    )
--- a/zincwell/entry.py
+++ b/zincwell/entry.py
@@ -5,10 +5,8 @@
 import asyncio
 import logging
 import uuid
-from pathlib import Path
 
 import aiohttp
-from msgspec import Struct
 
 from zincwell.adapters import (
     HttpLogService,
@@ -38,12 +36,13 @@
 from zincwell.core._snapshots import SnapshotWriter
 from zincwell.core._spill import Spill
 from zincwell.core._submissions import Submissions
-from zincwell.exceptions import LogUnavailableError, PeerUnavailableError, SettingsError
+from zincwell.exceptions import LogUnavailableError, PeerUnavailableError
 from zincwell.listeners import CallersListener, OperatorsListener, PeersListener
 from zincwell.metrics import Metrics
 from zincwell.models import Outcome
 from zincwell.ports import Clock, Vm
-from zincwell.settings import Settings
+from zincwell.settings import Settings, read_secret
+from zincwell.status import Status, describe
 
 IDLE_PEER_CONNECTION_S = 10.0
 ANY_ADDRESS = "0.0.0.0"
@@ -55,43 +54,6 @@
 log = logging.getLogger("zincwell.entry")
 
 
-class WorkerStatus(Struct, frozen=True, kw_only=True):
-    """A worker as this entry sees it."""
-
-    worker: str
-    pool: str
-    usable: bool
-    slots: int
-    placed: int
-    failure_rate: float
-    slowness: float
-    ejected: bool
-
-
-class Status(Struct, frozen=True, kw_only=True):
-    """An entry's state, for operators.
-
-    :param may_grant: whether it now grants keys as a home.
-    :param config_version: version of the configuration in force here; -1 for none.
-    :param keys: keys that it remembers as a home.
-    :param jobs: jobs that it owns or keeps answers of.
-    """
-
-    vm: str
-    domain: str
-    incarnation: str
-    ready: bool
-    draining: bool
-    may_grant: bool
-    log_reached: bool
-    config_version: int
-    seats: list[str]
-    keys: int
-    jobs: int
-    queued_by_pool: dict[str, int]
-    workers: list[WorkerStatus]
-
-
 class Entry:
     """One entry daemon.
 
@@ -221,35 +183,7 @@
 
     def status(self) -> Status:
         """Return what this entry is and knows, for operators."""
-        workers = [
-            WorkerStatus(
-                worker=worker.name,
-                pool=pool.name,
-                usable=worker.is_usable(),
-                slots=worker.slots,
-                placed=len(worker.placed_by_id),
-                failure_rate=round(worker.health.failure_rate, 3),
-                slowness=round(worker.health.slowness, 2),
-                ejected=worker.health.is_ejected(now=self.clock.monotonic()),
-            )
-            for pool in self.dispatcher.pool_by_name.values()
-            for worker in pool.worker_by_name.values()
-        ]
-        return Status(
-            vm=self.settings.vm,
-            domain=self.settings.domain,
-            incarnation=self.incarnation,
-            ready=self.is_ready(),
-            draining=self.is_draining,
-            may_grant=self.keeper.may_grant(),
-            log_reached=self.keeper.has_log(),
-            config_version=self.configuration.version,
-            seats=sorted(self.membership.seats_by_vm),
-            keys=self.home.size,
-            jobs=len(self.book.jobs_by_key),
-            queued_by_pool=self.load().queued_by_pool,
-            workers=workers,
-        )
+        return describe(self)
 
     def hand_over(self, call: HandoverCall) -> HandoverReply:
         """Return the keys that a new home should know of."""
@@ -525,21 +459,3 @@
             log.warning("seat_left_open", extra={"error": error})
             return
         await asyncio.sleep(4 * self.settings.timing.heartbeat_s + 2 * HANDOVER_PERIOD_S)
-
-
-def read_secret(path: str) -> str:
-    """Return what a file of a secret holds, or nothing for no file.
-
-    :raises SettingsError: if the file can't be read or is empty.
-    """
-    if not path:
-        return ""
-    try:
-        secret = Path(path).read_text(encoding="utf-8").strip()
-    except OSError as error:
-        raise SettingsError(f"{path}: {error.strerror}") from error
-    except UnicodeDecodeError as error:
-        raise SettingsError(f"{path}: not text in UTF-8") from error
-    if not secret:
-        raise SettingsError(f"{path}: the file is empty")
-    return secret
--- a/zincwell/settings.py
+++ b/zincwell/settings.py
@@ -204,3 +204,21 @@
     raise SettingsError(
         f"{name}.host: {listener.host} is not a loopback address, which needs {key} to be set"
     )
+
+
+def read_secret(path: str) -> str:
+    """Return what a file of a secret holds, or nothing for no file.
+
+    :raises SettingsError: if the file can't be read or is empty.
+    """
+    if not path:
+        return ""
+    try:
+        secret = Path(path).read_text(encoding="utf-8").strip()
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise SettingsError(f"{path}: not text in UTF-8") from error
+    if not secret:
+        raise SettingsError(f"{path}: the file is empty")
+    return secret
