List what is proved by which test, and run tests unmutated before a verdict

The tests of a mutation run in an unmutated copy first; if one fails there, there is no verdict. Mutations for workers, configuration, drain, handovers and spill.

--- a/proofs/mutations.py
+++ b/proofs/mutations.py
@@ -32,13 +32,28 @@
     )
 
 
+def _mutation(name: str, file: str, text: str, replacement: str, *tests: str) -> Mutation:
+    return Mutation(
+        name=name, file=f"zincwell/{file}", text=text, replacement=replacement, tests=tests
+    )
+
+
+def _worker(name: str, file: str, text: str, replacement: str, *tests: str) -> Mutation:
+    ids = [f"tests/test_workers.py::{test}" for test in tests]
+    return _mutation(f"worker-{name}", file, text, replacement, *ids)
+
+
+def _configuration(name: str, file: str, text: str, replacement: str, *tests: str) -> Mutation:
+    ids = [f"tests/test_configuration.py::{test}" for test in tests]
+    return _mutation(f"configuration-{name}", file, text, replacement, *ids)
+
+
 OWNERSHIP = [
     _ownership(
         "peers-unasked",
         "core/_seat.py",
-        "            return True\n"
-        "        return all(self._contact(seat).acked_at > oldest for seat in self.others())\n",
-        "            return True\n        return True\n",
+        "return bool(others) and all(self._contact(seat).acked_at > oldest for seat in others)",
+        "return bool(others)",
     ),
     _ownership(
         "log-contact-unchecked",
@@ -55,14 +70,14 @@
     _ownership(
         "joined-unchecked",
         "core/_seat.py",
-        "if not self.is_open or not self._has_joined():",
+        "if not self.is_open or not self.has_joined():",
         "if not self.is_open:",
     ),
     _ownership(
         "closing-acknowledged",
         "core/_seat.py",
-        "        if seat.id in self._closing:\n            return False\n",
-        "",
+        "return self._closing_by_id.get(seat.id) != current.opened",
+        "return True",
     ),
     _ownership(
         "no-wait-after-abrupt-close", "core/_home.py", "ABRUPT_LEASES = 2", "ABRUPT_LEASES = 0"
@@ -76,7 +91,7 @@
     _ownership(
         "handover-from-behind",
         "entry.py",
-        "if reply.epoch >= epoch and reply.seat.id == seat.id:",
+        "if reply.epoch >= self.membership.next_offset and reply.seat.id == seat.id:",
         "if reply.seat.id == seat.id:",
     ),
     _ownership(
@@ -93,4 +108,158 @@
     ),
 ]
 
-MUTATIONS = [*OWNERSHIP]
+WORKERS = [
+    _worker(
+        "lost-stream-counts-as-unsent",
+        "core/_worker.py",
+        "            await self._recover(open_by_id)\n",
+        "            self._release(open_by_id)\n"
+        "            self._on_unsent(list(open_by_id.values()), 'lost')\n",
+        "test_stream_broken_after_the_start",
+        "test_silent_connection_while_new_ones_work",
+        "test_worker_killed_mid_task",
+    ),
+    _worker(
+        "lost-stream-counts-as-lost",
+        "core/_worker.py",
+        "            await self._recover(open_by_id)\n",
+        "            self._release(open_by_id)\n"
+        "            self._on_lost(list(open_by_id.values()))\n",
+        "test_stream_broken_after_the_start",
+        "test_silent_connection_while_new_ones_work",
+        "test_idle_connection_gone_silent_before_a_start",
+    ),
+    _worker(
+        "lease-unchecked",
+        "core/_worker.py",
+        "        if not self.is_usable():\n",
+        "        if False:\n",
+        "test_entry_paused_past_its_worker_leases",
+    ),
+    _worker(
+        "length-unchecked",
+        "adapters/_worker.py",
+        "if event.kind is EventKind.COMPLETED and len(bytes(event.output)) != event.length:",
+        "if False:",
+        "test_truncated_and_crossed_answers",
+    ),
+    _worker(
+        "crossed-id-unchecked",
+        "adapters/_worker.py",
+        "        if event.id not in open_ids:\n",
+        "        if False:\n",
+        "test_truncated_and_crossed_answers",
+    ),
+    _worker(
+        "leaving-ignored",
+        "core/_worker.py",
+        "        if self._says_leaving or self.vm.state is VmState.LEAVING:\n",
+        "        if False:\n",
+        "test_leaving_worker_gets_nothing_new",
+    ),
+    _worker(
+        "no-hold-no-ejection",
+        "core/_dispatch.py",
+        "            worker.hold_slot(left_s - self._clock.monotonic())\n"
+        "            if pool.judge(worker):\n",
+        "            if False:\n",
+        "test_worker_that_fails_everything_does_not_swallow_the_queue",
+    ),
+    _worker(
+        "siblings-run-on",
+        "core/_dispatch.py",
+        "        if outcome is not Outcome.COMPLETED:\n            self.give_up(job, reason)\n",
+        "        if outcome is not Outcome.COMPLETED and job.unfinished == 0:\n"
+        "            self.give_up(job, reason)\n",
+        "test_task_failure_ends_the_job_at_once",
+    ),
+]
+
+CONFIGURATION = [
+    _configuration(
+        "base-uncompared",
+        "core/_configuration.py",
+        "        if change.base != self.version:\n",
+        "        if False:\n",
+        "test_operators_race",
+    ),
+    _configuration(
+        "ids-ignored",
+        "core/_configuration.py",
+        "        if change.id not in self.verdict_by_id:\n",
+        "        if True:\n",
+        "test_answer_of_the_log_lost_after_the_append",
+    ),
+    _configuration(
+        "no-answer-counts-as-refusal",
+        "core/_publishing.py",
+        '                log.info("append_unanswered", '
+        'extra={"change": change["id"], "error": error})\n',
+        "                detail = str(error)\n"
+        '                return Err(PublishFailure(reason="log_unavailable", detail=detail))\n',
+        "test_answer_of_the_log_lost_after_the_append",
+    ),
+    _configuration(
+        "snapshots-off",
+        "entry.py",
+        "                self.snapshots.run(),\n",
+        "",
+        "test_entry_born_after_the_retention",
+    ),
+]
+
+LIFE = [
+    _mutation(
+        "drain-without-waiting-for-jobs",
+        "entry.py",
+        "        await self.book.wait_answered()\n",
+        "",
+        "tests/test_take_over.py::test_drain_waits_for_jobs_that_no_caller_of_its_own_waits_for",
+    ),
+    _mutation(
+        "drain-at-once",
+        "entry.py",
+        "        await self.callers.close()\n        await self.book.wait_answered()\n",
+        "",
+        "tests/test_daemon.py::test_sigterm_under_load_cuts_nothing",
+    ),
+    _mutation(
+        "seat-left-behind",
+        "entry.py",
+        "        await self._hand_over_seat()\n",
+        "",
+        "tests/test_daemon.py::test_drained_entry_leaves_its_homes_in_order",
+    ),
+    _mutation(
+        "nothing-handed-over",
+        "core/_home.py",
+        "return [key for key in known.values() if _is_home(seat, key.key, seats)]",
+        "return []",
+        "tests/test_take_over.py::test_entry_that_joins_knows_what_the_home_before_it_granted",
+        "tests/test_faults_ownership.py::test_entry_that_joins_learns_what_was_granted",
+    ),
+    _mutation(
+        "first-attempt-trusted",
+        "core/_home.py",
+        "return claim.never_run and self._clock.wall() - claim.sent_at < longest_s",
+        "return claim.never_run",
+        "tests/test_faults_ownership.py::test_first_attempt_overtaken_by_the_second",
+    ),
+    _mutation(
+        "keys-always-fresh",
+        "core/_home.py",
+        "fresh = claim.created_at > home_since + self._timing.clock_margin_s",
+        "fresh = True",
+        "tests/test_ownership.py::test_home_killed_with_the_owner_it_was",
+        "tests/test_faults_ownership.py::test_home_that_owned_the_key_is_killed",
+    ),
+    _mutation(
+        "spill-off",
+        "core/_spill.py",
+        "        if not pool.wants_to_spill():\n            return\n",
+        "        return\n",
+        "tests/test_spill.py::test_burst_in_one_domain_uses_idle_slots_of_another",
+    ),
+]
+
+MUTATIONS = [*OWNERSHIP, *WORKERS, *CONFIGURATION, *LIFE]
--- a/proofs/red.py
+++ b/proofs/red.py
@@ -2,8 +2,9 @@
 
 ``python -m proofs.red`` copies the tree to a temporary folder for each mutation of the table,
 replaces one text there, runs the tests named and says ``red`` if every one of them failed, or
-``NOT RED`` with those that passed. ``python -m proofs.red NAME ...`` runs some mutations only.
-Not part of CI: it takes minutes, and its verdicts change only with the table.
+``NOT RED`` with those that passed. The same tests first run in a copy without any mutation; if
+one fails there, the mutation gets no verdict. ``python -m proofs.red NAME ...`` runs some
+mutations only. Not part of CI: it takes minutes, and its verdicts change only with the table.
 """
 
 from __future__ import annotations
@@ -22,7 +23,7 @@
 ROOT = Path(__file__).parents[1]
 COPIED = ["zincwell", "tests", "pyproject.toml"]
 RUN_TIMEOUT_S = 600
-FAILED = re.compile(r"^(?:FAILED|ERROR) (\S+)", re.MULTILINE)
+FAILED = re.compile(r"(?:FAILED|ERROR) (\S+)")
 
 
 class ProofError(Exception):
@@ -34,20 +35,24 @@
     """What one mutation's run showed.
 
     :ivar passed: tests that did not fail though the mechanism was out.
+    :ivar broken: tests that fail without the mutation too, so that there is no verdict.
     """
 
     mutation: Mutation
     passed: list[str]
     seconds: float
     reasons: list[str]
+    broken: list[str]
 
     @property
     def is_red(self) -> bool:
         """Whether every test named failed."""
-        return not self.passed
+        return not self.passed and not self.broken
 
     def line(self) -> str:
         """Return the verdict for the reader."""
+        if self.broken:
+            return f"{self.mutation.name}: NO VERDICT, fail unmutated: {' '.join(self.broken)}"
         verdict = "red" if self.is_red else f"NOT RED: {' '.join(self.passed)}"
         return f"{self.mutation.name}: {verdict} ({self.seconds:.0f} s)"
 
@@ -90,19 +95,55 @@
     return ran.stdout
 
 
-def try_out(mutation: Mutation) -> Verdict:
-    """Apply one mutation to a copy of the tree and run its tests there."""
-    began = time.monotonic()
+def failures(tests: tuple[str, ...], mutation: Mutation | None) -> list[str]:
+    """Run tests in a copy of the tree and return pytest's line of each that failed.
+
+    :param mutation: applied to the copy; None for the tree as it is.
+    :raises ProofError: if the mutation does not fit or the tests could not be run.
+    """
     with tempfile.TemporaryDirectory(prefix="proofs-") as folder:
         root = Path(folder)
         copy_tree(root)
-        apply(mutation, root)
-        output = run_tests(root, mutation.tests)
-    failed = FAILED.findall(output)
-    passed = [test for test in mutation.tests if not any(f.startswith(test) for f in failed)]
-    reasons = [line for line in output.splitlines() if line.startswith(("FAILED", "ERROR"))]
+        if mutation is not None:
+            apply(mutation, root)
+        output = run_tests(root, tests)
+    return [line for line in output.splitlines() if FAILED.match(line)]
+
+
+def has_failed(test: str, lines: list[str]) -> bool:
+    """Tell whether a test, or one of the file named, is among the failures."""
+    return any(FAILED.match(line).group(1).startswith(test) for line in lines)
+
+
+class Baseline:
+    """Failures of tests in the tree as it is, each asked for once.
+
+    Without it, a test that fails anyway would count as proof of any mechanism.
+    """
+
+    def __init__(self) -> None:
+        self._is_broken_by_test: dict[str, bool] = {}
+
+    def broken(self, tests: tuple[str, ...]) -> list[str]:
+        """Return those of the tests that fail without a mutation."""
+        unknown = tuple(test for test in tests if test not in self._is_broken_by_test)
+        lines = failures(unknown, None) if unknown else []
+        for test in unknown:
+            self._is_broken_by_test[test] = has_failed(test, lines)
+        return [test for test in tests if self._is_broken_by_test[test]]
+
+
+def try_out(mutation: Mutation, baseline: Baseline) -> Verdict:
+    """Apply one mutation to a copy of the tree and run its tests there."""
+    began = time.monotonic()
+    broken = baseline.broken(mutation.tests)
+    reasons = [] if broken else failures(mutation.tests, mutation)
     return Verdict(
-        mutation=mutation, passed=passed, seconds=time.monotonic() - began, reasons=reasons
+        mutation=mutation,
+        passed=[test for test in mutation.tests if not has_failed(test, reasons)],
+        seconds=time.monotonic() - began,
+        reasons=reasons,
+        broken=broken,
     )
 
 
@@ -121,8 +162,9 @@
     """Try the mutations named on the command line; exit 1 if one is not red."""
     try:
         verdicts = []
+        baseline = Baseline()
         for mutation in choose(sys.argv[1:]):
-            verdicts.append(try_out(mutation))
+            verdicts.append(try_out(mutation, baseline))
             print(verdicts[-1].line(), flush=True)
             for reason in verdicts[-1].reasons:
                 print(f"    {reason[:160]}", flush=True)
