--- a/proofs/mutations.py
+++ b/proofs/mutations.py
@@ -8,34 +8,43 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class Mutation:
-    """One mechanism taken out.
+class Edit:
+    """One text replaced in one file.
 
     :param text: stands exactly once in the file.
-    :param tests: ids as pytest takes them; each must fail.
     """
 
-    name: str
     file: str
     text: str
     replacement: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Mutation:
+    """One mechanism taken out, which may stand in several places.
+
+    :param tests: ids as pytest takes them; each must fail.
+    """
+
+    name: str
+    edits: tuple[Edit, ...]
     tests: tuple[str, ...]
 
 
+def _edit(file: str, text: str, replacement: str) -> Edit:
+    return Edit(file=f"zincwell/{file}", text=text, replacement=replacement)
+
+
 def _ownership(name: str, file: str, text: str, replacement: str) -> Mutation:
     return Mutation(
         name=f"ownership-{name}",
-        file=f"zincwell/{file}",
-        text=text,
-        replacement=replacement,
+        edits=(_edit(file, text, replacement),),
         tests=(PROPERTY,),
     )
 
 
 def _mutation(name: str, file: str, text: str, replacement: str, *tests: str) -> Mutation:
-    return Mutation(
-        name=name, file=f"zincwell/{file}", text=text, replacement=replacement, tests=tests
-    )
+    return Mutation(name=name, edits=(_edit(file, text, replacement),), tests=tests)
 
 
 def _worker(name: str, file: str, text: str, replacement: str, *tests: str) -> Mutation:
@@ -208,6 +217,18 @@
     ),
 ]
 
+REPEATS = [
+    _mutation(
+        "configuration-repeat-judged-anew",
+        "core/_configuration.py",
+        "        if change.id not in self.verdict_by_id:\n",
+        "        if True:\n",
+        "tests/test_cli.py::test_publish_repeated_with_its_id",
+        "tests/test_console.py"
+        "::test_log_outage_keeps_the_draft_and_publishing_again_counts_once",
+    )
+]
+
 LIFE = [
     _mutation(
         "drain-without-waiting-for-jobs",
@@ -262,4 +283,60 @@
     ),
 ]
 
-MUTATIONS = [*OWNERSHIP, *WORKERS, *CONFIGURATION, *LIFE]
+# Mechanisms of which another one covers the loss in the tests; here both are out.
+TOGETHER = [
+    Mutation(
+        name="together-answers-taken-under-any-id",
+        edits=(
+            _edit(
+                "adapters/_worker.py",
+                "        if event.id not in open_ids:\n",
+                "        if False:\n",
+            ),
+            _edit(
+                "core/_worker.py",
+                "            task = open_by_id.get(event.id)\n",
+                "            task = open_by_id.get(event.id)\n"
+                "            if task is None and event.kind is EventKind.COMPLETED:\n"
+                "                task = next(iter(open_by_id.values()))\n"
+                "                structs = __import__('msgspec').structs\n"
+                "                event = structs.replace(event, id=task.id)\n",
+            ),
+        ),
+        tests=("tests/test_workers.py::test_truncated_and_crossed_answers",),
+    ),
+    Mutation(
+        name="together-lease-clock-unread",
+        edits=(
+            _edit(
+                "core/_worker.py",
+                "            return False\n        return self._lease is not None"
+                " and self._clock.monotonic() < self._lease_until\n",
+                "            return False\n        return self._lease is not None\n",
+            ),
+        ),
+        tests=("tests/test_workers.py::test_entry_paused_past_its_worker_leases",),
+    ),
+    Mutation(
+        name="together-health-ignored",
+        edits=(
+            _edit(
+                "core/_dispatch.py",
+                "            worker.hold_slot(left_s - self._clock.monotonic())\n"
+                "            if pool.judge(worker):\n",
+                "            if False:\n",
+            ),
+            _edit(
+                "core/_health.py",
+                "        return max(1, round(slots * (1 - self.failure_rate)))\n",
+                "        return slots\n",
+            ),
+        ),
+        tests=(
+            "tests/test_workers.py"
+            "::test_worker_that_fails_everything_does_not_swallow_the_queue",
+        ),
+    ),
+]
+
+MUTATIONS = [*OWNERSHIP, *WORKERS, *CONFIGURATION, *REPEATS, *LIFE, *TOGETHER]
--- a/proofs/red.py
+++ b/proofs/red.py
@@ -58,16 +58,17 @@
 
 
 def apply(mutation: Mutation, root: Path) -> None:
-    """Replace the text of a mutation in a copy of the tree.
+    """Replace the texts of a mutation in a copy of the tree.
 
-    :raises ProofError: if the text is not there exactly once.
+    :raises ProofError: if a text is not there exactly once.
     """
-    path = root / mutation.file
-    source = path.read_text(encoding="utf-8")
-    count = source.count(mutation.text)
-    if count != 1:
-        raise ProofError(f"{mutation.name}: the text stands {count} times in {mutation.file}")
-    path.write_text(source.replace(mutation.text, mutation.replacement), encoding="utf-8")
+    for edit in mutation.edits:
+        path = root / edit.file
+        source = path.read_text(encoding="utf-8")
+        count = source.count(edit.text)
+        if count != 1:
+            raise ProofError(f"{mutation.name}: the text stands {count} times in {edit.file}")
+        path.write_text(source.replace(edit.text, edit.replacement), encoding="utf-8")
 
 
 def copy_tree(target: Path) -> None:
