Add failing tests of five faults in the decisions of an entry

Cause: (1) a job pushed back after its last task was taken is entered in the fair queue's list again, and expected_wait_s counts every line; (2) a job larger than max_queued_tasks is told to come back; (3) Quotas hands the remainder of the even split to every entry, so entries that are cut off exceed the quota together; (4) failures of tasks placed before an ejection count as failed probation; (5) their successes end probation. Change: tests only. Conclusion: code to be mended by the maintainer.

--- a/tests/test_decisions_admission.py
+++ b/tests/test_decisions_admission.py
@@ -5,8 +5,10 @@
 from types import SimpleNamespace
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, GreaterThan, Is, LessThan, MatchesStructure
+from testtools.matchers import Equals, GreaterThan, Is, LessThan, MatchesStructure, Not
 
 from tests.ownership_model import ManualClock
 from tests.test_decisions_queue import RUN_S, make_job
@@ -134,6 +136,20 @@
     assert_that(refusal.retry_after_ms, Is(None))
 
 
+def test_job_larger_than_the_whole_queue_is_refused_for_good():
+    """Symptom: a caller comes back each second for ever with a job that is never taken in.
+
+    Sequence: a job has more tasks than an entry may ever queue. Cause: the refusal is that of
+    a queue that is full now, and says when to come back.
+    """
+    desk = Desk()
+
+    refusal = desk.check(desk.job(tasks=101))
+
+    assert_that(refusal, Not(Is(None)))
+    assert_that(refusal.retry_after_ms, Is(None))
+
+
 def test_unknown_tenant_is_refused_for_good():
     desk = Desk(open_tenants=False, tenants={"press": {}})
 
@@ -299,6 +315,19 @@
     assert_that(start_all(open_quotas(24, **near)), Equals(allowed))
 
 
+@given(limit=st.integers(12, 200), peers=st.integers(0, 3), domains=st.integers(1, 3))
+@settings(deadline=None, derandomize=True)
+def test_entries_cut_off_stay_within_the_quota_together(limit: int, peers: int, domains: int):
+    """Symptom: a tenant runs more than its quota while the network is cut.
+
+    Sequence: no entry hears another; each starts what it may. Cause: their parts add up to
+    more than the quota.
+    """
+    quotas = open_quotas(limit, domains=domains, peers=peers)
+
+    assert_that(start_all(quotas) * (peers + 1) * domains <= limit, Is(True))
+
+
 def test_ended_task_frees_its_place():
     quotas = open_quotas(2)
     start_all(quotas)
--- a/tests/test_decisions_health.py
+++ b/tests/test_decisions_health.py
@@ -133,6 +133,33 @@
     assert_that(lasted, Equals([5.0, 10.0, 20.0, 40.0, LONGEST_EJECTION_S, LONGEST_EJECTION_S]))
 
 
+def test_late_failure_of_an_ejected_worker_does_not_count_as_probation():
+    """Symptom: a worker that failed once in a burst stays ejected for a minute.
+
+    Sequence: it has several tasks running when it's ejected; they fail right after. Cause:
+    each of them is taken for a failed try on probation and doubles the ejection.
+    """
+    health = Health()
+    health.eject(now=0.0)
+    for _ in range(4):
+        health.note_failure(now=0.1)
+
+    assert_that(health.ejected_until <= FIRST_EJECTION_S + 0.1, Is(True))
+
+
+def test_late_success_of_an_ejected_worker_does_not_end_probation():
+    """Symptom: a worker that was ejected comes back with all its slots and fails them all.
+
+    Sequence: it has several tasks running when it's ejected; one completes right after.
+    Cause: it's taken for a successful try on probation.
+    """
+    health = Health()
+    health.eject(now=0.0)
+    health.note_success(ratio=1.0)
+
+    assert_that(health.concurrency(SLOTS), Equals(1))
+
+
 # -- run times -------------------------------------------------------------------------
 
 
--- a/tests/test_decisions_queue.py
+++ b/tests/test_decisions_queue.py
@@ -244,6 +244,24 @@
     assert_that(wait_s, Equals(12 * RUN_S / (8 * 3 / 4)))
 
 
+@pytest.mark.parametrize("ordering", list(Ordering))
+def test_wait_counts_a_task_once_however_often_it_came_back(ordering: Ordering):
+    """Symptom: an entry refuses nearly all work as overload, with one task in its queue.
+
+    Sequence: the last task of a job is placed; its worker has no room and refuses it; it's
+    pushed back and placed again, many times. Cause: each time the job is entered in the
+    queue's list again while its old line is still there, and the wait counts every line.
+    """
+    queue = open_queue(ordering)
+    queue.push(make_job("page"))
+    for _ in range(50):
+        queue.push_back(queue.pop())
+
+    wait_s = queue.expected_wait_s(make_job("next", arrived_at=1.0), slots=1)
+
+    assert_that(wait_s, Equals(RUN_S))
+
+
 # -- whatever happens ------------------------------------------------------------------
 
 STEPS = st.lists(
