Add failing tests of three faults in the order of the queue

Cause: (6) the floor from which an idle tenant starts is that of whoever was chosen last, which may be a tenant that its quota held far back, so a newcomer gets 100 of 100 starts; (7) each class of urgency counts as a tenant of its own, so four classes get 80 of 100 starts against an equal tenant's 20; (8) FIFO puts a job whose last task comes back behind all that came after it. Change: tests only.

--- a/tests/test_decisions_queue.py
+++ b/tests/test_decisions_queue.py
@@ -112,6 +112,48 @@
     assert_that(starts["library"], GreaterThan(48))
 
 
+@pytest.mark.parametrize("ordering", FAIR)
+def test_newcomer_gets_no_claim_from_a_tenant_held_by_its_quota(ordering: Ordering):
+    """Symptom: whoever comes back from a pause shuts all others out for minutes.
+
+    Sequence: a press is held back by its quota while a school starts hundreds; the press may
+    start one; a library that was idle queues work at that moment. Cause: the newcomer starts
+    from what the press was served, which lags far behind, not from what the others were.
+    """
+    held = {"press"}
+    queue = open_queue(ordering, may_start=lambda tenant: tenant not in held)
+    push_all(queue, "press", count=400)
+    push_all(queue, "school", count=1_000)
+    pop_tenants(queue, 500)
+    held.clear()
+    pop_tenants(queue, 1)
+    held.add("press")
+
+    push_all(queue, "library", count=300)
+    starts = pop_tenants(queue, 100)
+
+    assert_that(starts["library"], LessThan(52))
+
+
+@pytest.mark.parametrize("ordering", FAIR)
+def test_classes_share_what_their_tenant_gets(ordering: Ordering):
+    """Symptom: a tenant gets four fifths of the slots by spreading its jobs over classes.
+
+    Sequence: a press queues jobs in four classes of urgency, a school of the same weight in
+    one. Cause: each class counts as a tenant of its own, though a class's weight is its share
+    against the other classes of the same tenant.
+    """
+    queue = open_queue(ordering)
+    for urgency in ("now", "today", "week", "month"):
+        for number in range(100):
+            queue.push(make_job(f"{urgency}-{number}", tenant="press", urgency=urgency))
+    push_all(queue, "school", count=100)
+
+    starts = pop_tenants(queue, 100)
+
+    assert_that(starts["school"], GreaterThan(48))
+
+
 @pytest.mark.parametrize("ordering", list(Ordering))
 def test_quota_holds_back_its_tenant_alone(ordering: Ordering):
     """Symptom: nothing starts although slots are free.
@@ -187,6 +229,23 @@
     assert_that([task.index for task in drain(queue)], Equals([0, 1, 2]))
 
 
+def test_last_task_pushed_back_keeps_the_place_of_its_job():
+    """Symptom: first come is served last; a job waits behind all that came after it.
+
+    Sequence: the last task of a job is placed, a later job's follows, the worker refuses the
+    first for want of room and it's pushed back. Cause: the job is queued as if it were new.
+    """
+    queue = open_queue(Ordering.FIFO)
+    for key in ("first", "second", "third"):
+        queue.push(make_job(key))
+    refused = queue.pop()
+    queue.pop()
+
+    queue.push_back(refused)
+
+    assert_that(queue.pop().job.key, Equals("first@school"))
+
+
 @pytest.mark.parametrize("ordering", list(Ordering))
 def test_cancel_wave_leaves_the_queue_clean(ordering: Ordering):
     """Symptom: the queue shows tasks that nobody waits for, or starts a cancelled one.
