--- a/zincwell/core/_admission.py
+++ b/zincwell/core/_admission.py
@@ -23,6 +23,7 @@
 LONGEST_RETRY_MS = 30_000
 QUOTA_RETRY_MS = 500
 FULL_RETRY_MS = 1_000
+MOST_TENANTS = 1_000
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -82,10 +83,17 @@
         :param wait_s: time until the queue is short enough.
         :param work_s: time that the work itself takes with the tenant's share of the slots.
         """
+        if len(self._free_at_by_tenant) > MOST_TENANTS:
+            self._forget_past(now)
         earliest = max(self._free_at_by_tenant.get(tenant, 0.0), now + wait_s)
         self._free_at_by_tenant[tenant] = earliest + work_s
         return earliest - now
 
+    def _forget_past(self, now: float) -> None:
+        """Drop turns that are over, so that tenants that come and go don't pile up."""
+        turns = self._free_at_by_tenant.items()
+        self._free_at_by_tenant = {tenant: at for tenant, at in turns if at > now}
+
 
 class Admission:
     """Admits or refuses work at arrival.
@@ -144,7 +152,11 @@
         )
 
     def _check_room(self, job: Job, pool: Pool) -> Refusal | None:
-        if pool.queue.size + len(job.tasks) > self._memory.max_queued_tasks:
+        most = self._memory.max_queued_tasks
+        if len(job.tasks) > most:
+            detail = f"{len(job.tasks)} tasks, an entry queues {most} at the most"
+            return Refusal(reason="queue_full", detail=detail)
+        if pool.queue.size + len(job.tasks) > most:
             detail = f"{pool.queue.size} tasks are queued"
             return Refusal(reason="queue_full", detail=detail, retry_after_ms=FULL_RETRY_MS)
         if pool.slots() == 0:
--- a/zincwell/core/_dispatch.py
+++ b/zincwell/core/_dispatch.py
@@ -211,7 +211,8 @@
         expected_s = self.run_times.expected_s(task.job.service)
         self.run_times.note(task.job.service, run_s)
         if worker is not None:
-            worker.health.note_success(ratio=run_s / max(expected_s, 0.001))
+            now = self._clock.monotonic()
+            worker.health.note_success(ratio=run_s / max(expected_s, 0.001), now=now)
 
     def _fail(self, pool: Pool, task: Task, worker: Worker | None, event: WorkerEvent) -> None:
         if worker is not None:
@@ -338,6 +339,7 @@
         return make_queue(
             rules.ordering,
             weight=self._weight,
+            class_weight=self._class_weight,
             run_s=self.run_times.expected_s,
             may_start=self.quotas.may_start,
         )
@@ -375,15 +377,15 @@
         rules = self.document.tenants.get(tenant)
         return rules.max_running if rules is not None else 0
 
-    def _weight(self, tenant: str, urgency: str) -> float:
+    def _weight(self, tenant: str) -> float:
         if tenant == GUEST_TENANT:
             return GUEST_WEIGHT
-        weight = 1.0
-        if tenant in self.document.tenants:
-            weight *= self.document.tenants[tenant].weight
-        if urgency in self.document.urgencies:
-            weight *= self.document.urgencies[urgency].weight
-        return weight
+        rules = self.document.tenants.get(tenant)
+        return rules.weight if rules is not None else 1.0
+
+    def _class_weight(self, urgency: str) -> float:
+        rules = self.document.urgencies.get(urgency)
+        return rules.weight if rules is not None else 1.0
 
     def _declared_run_s(self, service: str) -> float:
         if self.document is None or service not in self.document.services:
--- a/zincwell/core/_health.py
+++ b/zincwell/core/_health.py
@@ -32,12 +32,15 @@
     ejection_s: float = FIRST_EJECTION_S
     on_probation: bool = False
 
-    def note_success(self, *, ratio: float) -> None:
-        """Note a completed task and its run time over the usual one."""
+    def note_success(self, *, ratio: float, now: float) -> None:
+        """Note a completed task and its run time over the usual one.
+
+        What ends while it is ejected was started before that, and is no try on probation.
+        """
         self.results += 1
         self.failure_rate *= FAILURE_DECAY
         self.slowness += (1 - SPEED_DECAY) * (min(ratio, SLOWEST) - self.slowness)
-        if self.on_probation:
+        if self.on_probation and not self.is_ejected(now=now):
             self.on_probation = False
             self.failure_rate = 0.0
             self.ejection_s = FIRST_EJECTION_S
@@ -46,7 +49,7 @@
         """Note a failed task."""
         self.results += 1
         self.failure_rate = 1 - (1 - self.failure_rate) * FAILURE_DECAY
-        if self.on_probation:
+        if self.on_probation and not self.is_ejected(now=now):
             self.eject(now=now)
 
     def eject(self, *, now: float) -> None:
--- a/zincwell/core/_quotas.py
+++ b/zincwell/core/_quotas.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -67,4 +68,6 @@
         if any(load.queued_by_tenant.get(tenant, 0) for load in near.loads):
             return even
         used = sum(load.running_by_tenant.get(tenant, 0) for load in near.loads)
-        return max(even, in_domain - used - unheard * even)
+        # Rounded up for those that are not heard, or the parts of all would pass the quota.
+        theirs = math.ceil(in_domain / (near.peers + 1))
+        return max(even, in_domain - used - unheard * theirs)
