Let cancels and stop rules reach workers that left the list

Cause: a worker that left the list of VMs was no longer looked up, so the tasks still running there were not stopped by a cancel, a deadline or a stop rule.

Ruled out: a first form of the test with one worker: a list that loses all is distrusted, so the worker never left.

Change: a worker that is taken out stays with its pool until what runs there has ended.

--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -227,3 +227,36 @@
 async def _is_unusable(cluster: Cluster, entry, vm: str) -> bool:
     workers = (await cluster.status(entry))["workers"]
     return all(not worker["usable"] for worker in workers if worker["worker"] == vm)
+
+
+async def test_cancel_reaches_a_worker_that_left_the_list(cluster: Cluster):
+    """A cancel stops tasks on a worker that has gone from the list of VMs meanwhile.
+
+    Symptom: paper is embossed for a job that was cancelled. Sequence: tasks run on a worker;
+    it disappears from the list; the caller cancels. Cause: stops look for workers among those
+    that get new work.
+    """
+    await cluster.open(domains=ONE_ENTRY)
+    entry, worker = cluster.entry_by_vm["entry-0"], cluster.worker_by_vm["worker-0"]
+    submission = make_submission(key="kariakoo/a", tasks=16, sleep_ms=60_000)
+    await cluster.submit(entry, submission, wait=False)
+    await cluster.wait_started(16)
+
+    async with cluster.session.delete(f"{cluster.directory.fields['url']}/vms/{worker.vm}"):
+        pass
+    await cluster.wait_for("gone", lambda: _is_gone(cluster, entry, worker.vm))
+    url = entry.callers + "/v1/submissions?tenant=school&key=kariakoo/a"
+    async with cluster.session.delete(url) as response:
+        answer = await response.json()
+    await cluster.wait_for("stopped", lambda: _has_stops(cluster, worker))
+
+    assert_that(answer["reason"], Equals("cancelled"))
+
+
+async def _is_gone(cluster: Cluster, entry, vm: str) -> bool:
+    workers = (await cluster.status(entry))["workers"]
+    return all(worker["worker"] != vm for worker in workers)
+
+
+async def _has_stops(cluster: Cluster, worker) -> bool:
+    return (await cluster.get(worker.url + "/calls")).get("stop", 0) > 0
--- a/zincwell/core/_dispatch.py
+++ b/zincwell/core/_dispatch.py
@@ -368,9 +368,8 @@
 
     def _drop_worker(self, pool: Pool, name: str) -> None:
         """Give a worker nothing new; streams of what runs there go on to their end."""
-        worker = pool.worker_by_name.pop(name)
         self._lane_by_worker.pop(name).cancel()
-        self._run_aside(worker.retire())
+        self._run_aside(pool.let_go(pool.take_out(name)))
         log.info("worker_dropped", extra={"worker": name, "pool": pool.name})
 
     def _max_running(self, tenant: str) -> int:
--- a/zincwell/core/_pool.py
+++ b/zincwell/core/_pool.py
@@ -49,6 +49,7 @@
         self.queue = queue
         self.worker_by_name: dict[str, Worker] = {}
         self.lender_by_name: dict[str, Worker] = {}
+        self._retiring: list[Worker] = []
         self._full_since: float | None = None
         self.own_waited_at = NEVER
         self._shares = shares
@@ -86,12 +87,26 @@
         return sum(self._shares.allowed(worker) for worker in self.usable_workers())
 
     def all_workers(self) -> list[Worker]:
-        """Return the workers of our domain and the lenders of others."""
-        return [*self.worker_by_name.values(), *self.lender_by_name.values()]
+        """Return all workers that may run tasks of ours, here and in other domains."""
+        lenders = self.lender_by_name.values()
+        return [*self.worker_by_name.values(), *lenders, *self._retiring]
+
+    def take_out(self, name: str) -> Worker:
+        """Give a worker nothing new; cancels and stop rules still reach its tasks."""
+        worker = self.worker_by_name.pop(name)
+        self._retiring.append(worker)
+        return worker
+
+    async def let_go(self, worker: Worker) -> None:
+        """Release a worker that was taken out, once what runs there has ended."""
+        await worker.retire()
+        self._retiring.remove(worker)
 
     def find_worker(self, name: str) -> Worker | None:
-        """Return a worker or a lender by name."""
-        return self.worker_by_name.get(name) or self.lender_by_name.get(name)
+        """Return a worker, lender or worker that was taken out, by name."""
+        found = self.worker_by_name.get(name) or self.lender_by_name.get(name)
+        retiring = (worker for worker in self._retiring if worker.name == name)
+        return found or next(retiring, None)
 
     def largest_memory_mb(self) -> int:
         """Return the memory of the largest worker, in MB."""
