--- a/zincwell/document.py
+++ b/zincwell/document.py
@@ -55,7 +55,8 @@
     :param queue_target_ms: queueing delay that admission holds, in milliseconds.
     :param eject_share: largest share of the pool that may be ejected as unhealthy.
     :param guards: whether unhealthy workers are ejected at all.
-    :param spill: whether free workers of other domains may take queued tasks.
+    :param spill: whether free workers of other domains may take queued tasks: shorter waits in a
+        burst at one domain, for a few wasted messages.
     """
 
     ordering: Ordering = Ordering.FAIR_LEAST_WORK
@@ -63,7 +64,7 @@
     queue_target_ms: Annotated[int, Meta(ge=1)] = 2_000
     eject_share: Share = 0.34
     guards: bool = True
-    spill: bool = True
+    spill: bool = False
 
 
 class Tenant(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
