--- a/proofs/mutations.py
+++ b/proofs/mutations.py
@@ -283,6 +283,45 @@
     ),
 ]
 
+OWNERS = [
+    _mutation(
+        "owner-digest-uncompared",
+        "core/_jobs.py",
+        "    return xxhash.xxh3_64_intdigest(msgspec.json.encode(asked))\n",
+        "    return 1\n",
+        "tests/test_ownership.py::test_key_reused_for_other_work_is_refused",
+    ),
+    _mutation(
+        "owner-run-uncompared",
+        "core/_submissions.py",
+        "        if call.owner != self._seat.id:\n"
+        "            return AttachReply(kind=AttachKind.OTHER_RUN)\n"
+        "        claiming = ",
+        "        claiming = ",
+        "tests/test_faults_ownership.py::test_owner_restarted_at_the_same_address",
+    ),
+    Mutation(
+        name="home-lease-unchecked",
+        edits=(
+            _edit(
+                "core/_seat.py",
+                "        if not self.is_open or not self.has_joined():\n            return False\n",
+                "        return True\n",
+            ),
+        ),
+        tests=(
+            "tests/test_ownership.py::test_home_paused_past_its_lease_grants_nothing_on_waking",
+        ),
+    ),
+    _mutation(
+        "owner-gone-counts-as-new",
+        "core/_home.py",
+        '        return ClaimReply(kind=ClaimKind.UNKNOWN, reason="home_changed")\n',
+        "        return self._decide_new(asker, claim)\n",
+        "tests/test_ownership.py::test_home_killed_with_the_owner_it_was",
+    ),
+]
+
 # Mechanisms of which another one covers the loss in the tests; here both are out.
 TOGETHER = [
     Mutation(
@@ -317,6 +356,22 @@
         ),
         tests=("tests/test_workers.py::test_entry_paused_past_its_worker_leases",),
     ),
+    Mutation(
+        name="home-first-attempt-trusted",
+        edits=(
+            _edit(
+                "core/_home.py",
+                "return claim.never_run and self._clock.wall() - claim.sent_at < longest_s",
+                "return claim.never_run",
+            ),
+            _edit(
+                "core/_submissions.py",
+                "        return self._clock.wall() - sent_at < longest_s\n",
+                "        return True\n",
+            ),
+        ),
+        tests=("tests/test_faults_ownership.py::test_first_attempt_overtaken_by_the_second",),
+    ),
     Mutation(
         name="together-health-ignored",
         edits=(
@@ -339,4 +394,4 @@
     ),
 ]
 
-MUTATIONS = [*OWNERSHIP, *WORKERS, *CONFIGURATION, *REPEATS, *LIFE, *TOGETHER]
+MUTATIONS = [*OWNERSHIP, *WORKERS, *CONFIGURATION, *REPEATS, *LIFE, *OWNERS, *TOGETHER]
