--- a/Makefile
+++ b/Makefile
@@ -11,12 +11,12 @@
 	$(BIN)/pytest -q
 
 check: $(VENV)/.stamp
-	$(BIN)/black --check --quiet zincwell tests bench
-	$(BIN)/ruff check zincwell tests bench
+	$(BIN)/black --check --quiet zincwell tests bench proofs
+	$(BIN)/ruff check zincwell tests bench proofs
 
 format: $(VENV)/.stamp
-	$(BIN)/black --quiet zincwell tests bench
-	$(BIN)/ruff check --fix zincwell tests bench
+	$(BIN)/black --quiet zincwell tests bench proofs
+	$(BIN)/ruff check --fix zincwell tests bench proofs
 
 $(VENV)/.stamp: pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
