--- a/zincwell/core/_home.py
+++ b/zincwell/core/_home.py
@@ -124,12 +124,22 @@
 
     def floor(self) -> float:
         """Return the wall clock time from when all that we were home to is known."""
-        floors = [self._clock.wall()] if not self._steps else [self._steps[0].since]
+        if not self._steps:
+            return self._clock.wall()
+        floors = [self._known_since(self._steps[0])]
         for before, step in itertools.pairwise(self._steps):
+            since = self._known_since(step)
             sources = self._sources(before, step)
-            floors += [step.floor_by_seat.get(seat.id, step.since) for seat in sources]
+            floors += [step.floor_by_seat.get(seat.id, since) for seat in sources]
         return max(floors)
 
+    def _known_since(self, step: Step) -> float:
+        """Return from when we know the keys that came to us at a step without a handover.
+
+        Not before all others knew of our seat: until then one of them may have granted them.
+        """
+        return max(step.since, self._keeper.joined_at)
+
     def _sources(self, before: Step, step: Step) -> list[Seat]:
         """Return the seats that keys of ours came from at a step.
 
@@ -272,11 +282,11 @@
                 continue
             if ours is None:
                 break
-            since = max(ours.since, self._keeper.joined_at)
-            return ours.floor_by_seat.get(home.id, since), ours.grants_from
+            since = ours.floor_by_seat.get(home.id, self._known_since(ours))
+            return since, ours.grants_from
         if ours is None:
             return self._clock.wall(), 0.0
-        return max(ours.since, self._keeper.joined_at), ours.grants_from
+        return self._known_since(ours), ours.grants_from
 
 
 def _granted(owned: OwnedKey) -> ClaimReply:
