Name the worker's run when asking what became of tasks

Cause: a worker that dies and is back at its address before the entry asks about a lost stream has never seen the tasks of its earlier run, fenced them, and so made "not run" of what had run: the entry placed them again.

Ruled out: naming the lease (a worker drops lapsed ones); treating each fence as unknown (it would make unknown what most silent connections prove).

Change: leases carry the run of the worker, watches name the run that the tasks were sent to, and a worker says lost of ids sent to another run.

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -38,7 +38,7 @@
         for task in tasks:
             yield WorkerEvent(kind=EventKind.COMPLETED, id=task.id, output=Raw(b"1"), length=1)
 
-    async def watch(self, *, ids: list[str], fence: bool) -> AsyncIterator[WorkerEvent]:
+    async def watch(self, *, ids: list[str], fence: bool, run: str) -> AsyncIterator[WorkerEvent]:
         raise NotImplementedError
         yield
 
--- a/tests/test_workers.py
+++ b/tests/test_workers.py
@@ -141,6 +141,28 @@
     assert_that(set(outcomes), Equals({"outcome_unknown"}))
 
 
+async def test_worker_restarted_at_its_address(cluster: Cluster):
+    """A worker that restarts does not pass off what its earlier run started as never seen.
+
+    Symptom: a page is embossed twice. Sequence: a worker starts tasks, dies, and is back at the
+    same address before the entry asks what became of them; it has never seen their ids. Cause:
+    what was never seen by this run counts as never started.
+    """
+    await cluster.open(domains=ONE_WORKER)
+    entry, worker = cluster.entry_by_vm["entry-0"], cluster.worker_by_vm["worker-0"]
+    submission = make_submission(key="kariakoo/a", tasks=8, sleep_ms=2_000)
+    sending = asyncio.ensure_future(cluster.submit(entry, submission))
+    await cluster.wait_started(8)
+
+    again = await cluster._start("worker-again", "-m", "zincwell.standins", "worker")
+    worker.relay.aim(again.fields["url"])
+    await worker.kill()
+    _, answer = await sending
+
+    assert_that(answer["outcome"], Equals("outcome_unknown"))
+    assert_that(await cluster.get(again.fields["url"] + "/ledger"), Equals([]))
+
+
 async def test_task_failure_ends_the_job_at_once(cluster: Cluster):
     """A failed task fails its job at once: queued siblings never run, running ones stop.
 
--- a/zincwell/adapters/_worker.py
+++ b/zincwell/adapters/_worker.py
@@ -50,6 +50,7 @@
 
     ids: list[str]
     fence: bool
+    run: str = ""
 
 
 class StopCall(Struct, frozen=True):
@@ -104,9 +105,9 @@
         async for event in events:
             yield event
 
-    async def watch(self, *, ids: list[str], fence: bool) -> AsyncIterator[WorkerEvent]:
+    async def watch(self, *, ids: list[str], fence: bool, run: str) -> AsyncIterator[WorkerEvent]:
         """Ask on a new connection what became of tasks."""
-        call = WatchCall(ids=ids, fence=fence)
+        call = WatchCall(ids=ids, fence=fence, run=run)
         async for event in self._stream(self._fresh_session, "/watches", call, set(ids)):
             yield event
 
--- a/zincwell/core/_worker.py
+++ b/zincwell/core/_worker.py
@@ -175,6 +175,7 @@
     async def _follow(self, tasks: list[Task]) -> None:
         """Start tasks and see each to its end, on further connections if this one is lost."""
         open_by_id = {task.id: task for task in tasks}
+        run = self._lease.run if self._lease is not None else ""
         try:
             await self._start(tasks, open_by_id)
         except WorkerUnreachableError as error:
@@ -186,7 +187,7 @@
                 "stream_lost",
                 extra={"worker": self.name, "tasks": len(open_by_id), "error": error},
             )
-            await self._recover(open_by_id)
+            await self._recover(open_by_id, run)
 
     async def _start(self, tasks: list[Task], open_by_id: dict[str, Task]) -> None:
         # The process may have been paused since these tasks were chosen, and the lease may
@@ -208,16 +209,17 @@
         events = self._transport.start(entry=self._entry, lease=self._lease.lease, tasks=starts)
         await self._take(events, open_by_id)
 
-    async def _recover(self, open_by_id: dict[str, Task]) -> None:
+    async def _recover(self, open_by_id: dict[str, Task], run: str) -> None:
         """Ask on new connections what became of tasks whose stream was lost.
 
         The worker fences what it has not seen, so that a start still on its way is refused
-        when it arrives; only then is it true that the task has not run.
+        when it arrives; only then is it true that the task has not run. One that has restarted
+        has not seen what its earlier run started, so it is asked by the name of the run.
         """
         lost_at = self._clock.monotonic()
         while open_by_id:
             try:
-                events = self._transport.watch(ids=list(open_by_id), fence=True)
+                events = self._transport.watch(ids=list(open_by_id), fence=True, run=run)
                 await self._take(events, open_by_id)
                 return
             except WorkerError as error:
--- a/zincwell/ports.py
+++ b/zincwell/ports.py
@@ -95,11 +95,13 @@
 
     :param ttl_s: lifetime in seconds from when it was asked for.
     :param running: tasks that it runs now, of all entries.
+    :param run: names this run of the worker's process; another run knows nothing of its tasks.
     """
 
     lease: str
     ttl_s: float
     slots: int
+    run: str = ""
     running: int = 0
     leaving: bool = False
 
@@ -119,7 +121,8 @@
 class EventKind(enum.StrEnum):
     """What a worker says of a task.
 
-    ``lost`` is said by an entry that runs a task for another: nobody can know its outcome.
+    ``lost``: nobody can know the outcome. Said by a worker of a task that was sent to an earlier
+    run of it, and by an entry that runs a task for another.
     """
 
     ACCEPTED = "accepted"
@@ -167,10 +170,12 @@
         """
 
     @abc.abstractmethod
-    def watch(self, *, ids: list[str], fence: bool) -> AsyncIterator[WorkerEvent]:
+    def watch(self, *, ids: list[str], fence: bool, run: str) -> AsyncIterator[WorkerEvent]:
         """Ask on a new connection what became of tasks and yield until each is final.
 
         :param fence: make the worker refuse for good the ids that it has not seen.
+        :param run: run of the worker that the tasks were sent to; of ids sent to another run
+            it says ``lost``.
         :raises WorkerError: if there is no answer or it breaks.
         """
 
--- a/zincwell/standins/_worker.py
+++ b/zincwell/standins/_worker.py
@@ -88,6 +88,7 @@
         self.cross = 0
         self.break_after_start = 0
         self.delay_s = 0.0
+        self.run = uuid.uuid4().hex
         self.running = 0
         self.ledger: list[Started] = []
         self.calls_by_kind: dict[str, int] = {}
@@ -113,6 +114,7 @@
                 lease=lease,
                 ttl_s=call.ttl_s,
                 slots=self.slots,
+                run=self.run,
                 running=self.running,
                 leaving=self.leaving,
             )
@@ -191,6 +193,9 @@
         response = await _open_stream(request)
         watched = []
         for task_id in call.ids:
+            if task_id not in self._runs_by_id and call.run not in ("", self.run):
+                await _send(response, self._event(EventKind.LOST, task_id, reason="restarted"))
+                continue
             if task_id not in self._runs_by_id and call.fence:
                 self._fence(task_id)
             watched.append(task_id)
