Take back jobs that were not delivered, and take no late ones

Cause: an entry that could not reach the owner left its job in the link to it. Delivered seconds later it looked new there: (1) after a healed partition, beside the run of the stand-in that had got the job meanwhile; (2) after the entry had given it up and the caller had sent it elsewhere; (3) read from its sockets by an owner whose VM had stood still. Ruled out: a wrong 'all workers held' at the owner. The job's age and its 'exposed' flag in the logs show the first sending, not the one that was handed over after the cut. Change: with another owner, or a caller that is given up, jobs that wait in a link are replaced by their cancellation. Envelopes say when they were sent; one that took 0.6 s longer than the quickest of its sender has its jobs left out, and the sender hands them in again. The clock counts suspended time. A full link no longer drops messages that came after it had been emptied. A crash of a compiled library now writes where it happened.

--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from zincwell.dispatch import Limits, Node
+from zincwell.dispatch._messages import Envelope
 from zincwell.dispatch._types import (
     Configuration,
     EntryInfo,
@@ -204,6 +205,8 @@
         self.calls_by_node: dict[str, set[asyncio.Future]] = {}
         self.drop_starts: set[str] = set()
         self.late_start_s: dict[str, float] = {}
+        self.slow_ways: set[tuple[str, str]] = set()
+        self.late_envelopes: list[tuple[str, Envelope]] = []
 
     # -- set-up -----------------------------------------------------------------------------
 
@@ -343,6 +346,13 @@
 
     # -- calls between entries --------------------------------------------------------------
 
+    def deliver_late(self) -> None:
+        """Deliver what was held back on slow ways; the senders have given it up."""
+        self.slow_ways.clear()
+        for address, envelope in self.late_envelopes:
+            self.nodes[address].receive(envelope)
+        self.late_envelopes.clear()
+
     async def deliver(self, address, envelope, *, timeout_s):
         sender = (envelope.sender.name, envelope.sender.zone)
         await asyncio.sleep(LATENCY_S)
@@ -353,6 +363,10 @@
             await asyncio.sleep(timeout_s)
             raise PeerCallError("no answer")
         envelope = msgspec.json.decode(msgspec.json.encode(envelope), type=type(envelope))
+        if (envelope.sender.name, address) in self.slow_ways:
+            self.late_envelopes.append((address, envelope))
+            await asyncio.sleep(timeout_s)
+            raise PeerCallError("no answer")
         receipt = node.receive(envelope)
         await asyncio.sleep(LATENCY_S)
         return receipt
--- a/zincwell/dispatch/_callers.py
+++ b/zincwell/dispatch/_callers.py
@@ -197,26 +197,32 @@
         verdict = Verdict.UNKNOWN if pending.handed_fence else Verdict.REFUSED
         outcome = Outcome(verdict=verdict, reason=reason, retry_after_s=RETRY_AFTER_S)
         self.settle(pending.request.id, outcome)
+        if pending.handed_fence:
+            # It may still wait in the link to an owner that can't be reached. Started there once
+            # it can, it would run beside what the caller has sent again elsewhere.
+            self._channel.cancel(Cancel(job=pending.request.id))
 
     async def _review_forever(self) -> None:
         while True:
             await asyncio.sleep(REVIEW_S)
             if self._channel.silence_s() < OWNERLESS_S and self._channel.fence():
-                self._hand_again()
+                self.hand_again(after_s=HAND_AGAIN_S)
                 continue
             for pending in list(self._pending_by_id.values()):
                 if self._loop.time() - pending.arrived_at > self._patience_s(pending):
                     self._give_up(pending, "no owner of the pool is known")
 
-    def _hand_again(self) -> None:
+    def hand_again(self, *, after_s: float) -> None:
         """Hand jobs in once more that the owner may not know (any more).
 
+        :param after_s: only those that were handed in longer ago.
+
         A message that was queued for an owner is lost with a change of owners and back, and the
         caller would wait in vain. To an owner that has the job, the repetition changes nothing.
         """
         now = self._loop.time()
         for pending in self._pending_by_id.values():
-            if now - pending.handed_at > HAND_AGAIN_S:
+            if now - pending.handed_at > after_s:
                 self._hand(pending)
 
     def _patience_s(self, pending: PendingJob) -> float:
--- a/zincwell/dispatch/_messages.py
+++ b/zincwell/dispatch/_messages.py
@@ -80,12 +80,14 @@
     """One delivery between two entries.
 
     :param sequence: rises by one; a repeated delivery carries the same number.
+    :param sent_at: the sender's clock, in seconds from a moment of its own.
     :param version: newest version of the configuration that the sender knows.
     :param fence: fencing token of the sender if it is owner, else 0.
     """
 
     sender: EntryInfo
     sequence: int
+    sent_at: float
     messages: list[Message]
     version: int = 0
     fence: int = 0
@@ -99,6 +101,7 @@
     :param owner_silence_s: for how long the receiver has not heard the owner.
     :param leaving: the receiver shuts down and takes nothing over.
     :param version: newest version of the configuration that the receiver knows.
+    :param late: the envelope came so late that jobs in it were not taken.
     """
 
     receiver: EntryInfo
@@ -106,3 +109,4 @@
     owner_silence_s: float = 0.0
     leaving: bool = False
     version: int = 0
+    late: bool = False
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import logging
+from collections.abc import Callable
 
 import msgspec
 
@@ -69,6 +70,8 @@
     """An entry of the pool.
 
     :param me: name, address for other entries, failure domain and incarnation of this process.
+    :param clock: a steady clock that counts the time that the VM was suspended, which the loop's
+        clock need not do; that one by default.
     """
 
     def __init__(
@@ -79,6 +82,7 @@
         workers: WorkerClient,
         peers: PeerClient,
         limits: Limits,
+        clock: Callable[[], float] | None = None,
     ) -> None:
         self.me = me
         self.configuration: Configuration | None = None
@@ -90,6 +94,7 @@
         self._peer_client = peers
         self._limits = limits
         self._loop = asyncio.get_running_loop()
+        self._clock = clock or self._loop.time
         self._links_by_name: dict[str, PeerLink] = {}
         self._entries_by_name: dict[str, EntryInfo] = {me.name: me}
         self._inbox = Inbox()
@@ -257,6 +262,7 @@
                 client=self._peer_client,
                 observer=self,
                 sequences=self._sequences,
+                clock=self._clock,
             )
             self._links_by_name[entry.name] = link
         return link
@@ -268,8 +274,12 @@
         if link is not None:
             link.note_heard()
         self.election.note_owner_alive(envelope.sender.incarnation, envelope.fence)
+        late = self._inbox.is_late(envelope, now=self._clock())
         if self._inbox.is_new(envelope):
             for message in envelope.messages:
+                if late and isinstance(message, Submit):
+                    log.info("late_job job=%s entry=%s", message.job.id, envelope.sender.name)
+                    continue
                 self._handle(envelope.sender, message)
         if envelope.version < self.configuration_version():
             self._send_configuration(envelope.sender)
@@ -279,6 +289,7 @@
             owner_silence_s=self.election.silence_s(),
             leaving=self.leaving,
             version=self.configuration_version(),
+            late=late,
         )
 
     def _handle(self, sender: EntryInfo, message: Message) -> None:
@@ -319,6 +330,8 @@
         if receipt.receiver.incarnation != link.peer.incarnation:
             self._note_entry(receipt.receiver)
         self.election.note_receipt(receipt)
+        if receipt.late:
+            self.desk.hand_again(after_s=0)
         if receipt.version < self.configuration_version():
             self._send_configuration(receipt.receiver)
 
@@ -357,6 +370,7 @@
         """Follow another entry as owner."""
         self._close_owner()
         self._note_entry(owner)
+        self._withdraw_jobs(owner.name)
         self._link(owner).send(Hello())
         self.desk.hand_over()
 
@@ -379,9 +393,16 @@
         self._workers_feed.read_soon()
         self._owner.set_workers(self._worker_infos())
         self._elected_at = self._loop.time()
+        self._withdraw_jobs(self.me.name)
         self._send_beats()
         self.desk.hand_over()
 
+    def _withdraw_jobs(self, owner: str) -> None:
+        """Take back jobs that were not delivered to earlier owners."""
+        for name, link in self._links_by_name.items():
+            if name != owner:
+                link.withdraw_jobs()
+
     def _close_owner(self) -> None:
         if self._owner is not None:
             self._owner.close()
--- a/zincwell/dispatch/_peers.py
+++ b/zincwell/dispatch/_peers.py
@@ -5,9 +5,10 @@
 import abc
 import asyncio
 import logging
-from collections.abc import Iterator
+import math
+from collections.abc import Callable, Iterator
 
-from zincwell.dispatch._messages import Envelope, Message, Receipt
+from zincwell.dispatch._messages import Cancel, Envelope, Message, Receipt, Submit
 from zincwell.dispatch._tasks import TaskGroup
 from zincwell.dispatch._types import EntryInfo
 from zincwell.dispatch.ports import PeerCallError, PeerClient
@@ -20,6 +21,12 @@
 # Pause after a failed delivery.
 RETRY_PAUSE_S = 0.03
 MAX_RETRY_PAUSE_S = 0.2
+# An envelope that took this many seconds longer than others of its sender stood in a socket of a
+# VM that was frozen, or on a cut link. Senders give a delivery up after 0.25 s, callers send again
+# 1.3 s after they got no answer, and a VM that is five times slower needs 0.1 s.
+LATE_S = 0.6
+# Clocks drift apart by up to 0.1 s an hour; the quickest delivery of this many seconds is compared.
+QUICKEST_OF_S = 60.0
 # Beyond this many messages an unreachable entry is not served any more; it submits again.
 MAX_QUEUED = 5_000
 
@@ -46,6 +53,7 @@
     A delivery whose acknowledgement is lost is repeated under the same number, so the receiver
     can tell it from a new one.
 
+    :param clock: this entry's clock; it counts the time that the VM was suspended.
     :param sequences: numbers for deliveries, rising over all links of this entry. A link that
         takes the place of another to the same process would otherwise begin with numbers that
         the process has seen, and its messages would be taken for repetitions.
@@ -59,8 +67,10 @@
         client: PeerClient,
         observer: LinkObserver,
         sequences: Iterator[int],
+        clock: Callable[[], float],
     ) -> None:
         self._sequences = sequences
+        self._clock = clock
         self.peer = peer
         self.last_receipt_at = -1e9
         self.last_receipt: Receipt | None = None
@@ -68,6 +78,7 @@
         self._client = client
         self._observer = observer
         self._queue: list[Message] = []
+        self._under_way: list[Message] = []
         self._wake = asyncio.Event()
         self._loop = asyncio.get_running_loop()
         self._heard_at = self._loop.time()
@@ -79,12 +90,31 @@
         if len(self._queue) >= MAX_QUEUED:
             log.warning("peer_queue_full peer=%s dropped=%d", self.peer.name, len(self._queue))
             self._queue.clear()
+        if isinstance(message, Cancel):
+            self._withdraw({message.job})
         self._queue.append(message)
         self._wake.set()
 
+    def withdraw_jobs(self) -> None:
+        """Take back the jobs that still wait to be delivered: another owner has them now."""
+        waiting = [*self._under_way, *self._queue]
+        self._withdraw({m.job.id for m in waiting if isinstance(m, Submit)})
+
+    def _withdraw(self, jobs: set[str]) -> None:
+        """Replace jobs in the queue by their cancellation.
+
+        Delivered later, when a cut has healed, a job would look new to an owner and run beside
+        what another owner has started of it. A try that got no acknowledgement may have got
+        through, so the cancellation goes in its place.
+        """
+        for messages in (self._under_way, self._queue):
+            for place, message in enumerate(messages):
+                if isinstance(message, Submit) and message.job.id in jobs:
+                    messages[place] = Cancel(job=message.job.id)
+
     def is_idle(self) -> bool:
         """Return whether everything queued was acknowledged."""
-        return not self._queue
+        return not self._queue and not self._under_way
 
     def silence_s(self) -> float:
         """Return seconds since the entry was last heard."""
@@ -103,20 +133,23 @@
             await self._wake.wait()
             self._wake.clear()
             while self._queue:
-                batch = list(self._queue)
-                await self._deliver(batch)
-                del self._queue[: len(batch)]
-
-    async def _deliver(self, batch: list[Message]) -> None:
-        envelope = Envelope(
-            sender=self._me,
-            sequence=next(self._sequences),
-            messages=batch,
-            version=self._observer.configuration_version(),
-            fence=self._observer.own_fence(),
-        )
+                self._under_way, self._queue = self._queue, []
+                await self._deliver()
+                self._under_way = []
+
+    async def _deliver(self) -> None:
+        """Deliver what is under way, as it stands at each try."""
+        sequence = next(self._sequences)
         failures = 0
         while True:
+            envelope = Envelope(
+                sender=self._me,
+                sequence=sequence,
+                sent_at=self._clock(),
+                messages=self._under_way,
+                version=self._observer.configuration_version(),
+                fence=self._observer.own_fence(),
+            )
             try:
                 receipt = await self._client.deliver(
                     self.peer.address, envelope, timeout_s=DELIVERY_TIMEOUT_S
@@ -134,10 +167,25 @@
 
 
 class Inbox:
-    """Tells new envelopes from repeated ones."""
+    """Tells new envelopes from repeated ones, and late ones from those in time."""
 
     def __init__(self) -> None:
         self._seen_by_incarnation: dict[str, int] = {}
+        self._quickest_by_incarnation: dict[str, QuickestDelivery] = {}
+
+    def is_late(self, envelope: Envelope, *, now: float) -> bool:
+        """Return whether an envelope took much longer than others of its sender.
+
+        What it asks for may have been given up meanwhile and done elsewhere: a job in it would
+        run twice. Clocks of two entries can't be compared, but the difference between them is the
+        same for all envelopes, so the quickest one tells what of it is delay.
+        """
+        quickest = self._quickest_by_incarnation.setdefault(
+            envelope.sender.incarnation, QuickestDelivery()
+        )
+        difference = now - envelope.sent_at
+        quickest.note(difference, now=now)
+        return difference - quickest.difference() > LATE_S
 
     def is_new(self, envelope: Envelope) -> bool:
         """Return whether the envelope has not been handled yet, and note it."""
@@ -146,3 +194,22 @@
             return False
         self._seen_by_incarnation[incarnation] = envelope.sequence
         return True
+
+
+class QuickestDelivery:
+    """The smallest difference between two entries' clocks that was seen lately."""
+
+    def __init__(self) -> None:
+        self._since = 0.0
+        self._current = math.inf
+        self._previous = math.inf
+
+    def note(self, difference: float, *, now: float) -> None:
+        """Take a delivery into account."""
+        if now - self._since > QUICKEST_OF_S:
+            self._since, self._previous, self._current = now, self._current, math.inf
+        self._current = min(self._current, difference)
+
+    def difference(self) -> float:
+        """Return the smallest difference."""
+        return min(self._current, self._previous)
--- a/zincwell/platform/__main__.py
+++ b/zincwell/platform/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import faulthandler
 import gc
 import logging
 import os
@@ -43,6 +44,8 @@
 
 def main() -> int:
     """Run until SIGTERM; return the exit status."""
+    # A crash in a compiled library leaves no Python error; this writes where it happened.
+    faulthandler.enable()
     set_up_bounded_logs(logging.INFO)
     path = Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS))
     try:
@@ -94,7 +97,7 @@
 def _make_node(settings: PlatformSettings, session: aiohttp.ClientSession) -> Node:
     me = EntryInfo(
         name=settings.name,
-        address=settings.peers,
+        address=settings.peers_advertised,
         zone=settings.zone,
         incarnation=uuid.uuid4().hex[:12],
         started_at=time.time(),
@@ -106,6 +109,7 @@
         workers=HttpWorkerClient(session=session),
         peers=HttpPeerClient(session=session),
         limits=settings.limits,
+        clock=lambda: time.clock_gettime(time.CLOCK_BOOTTIME),
     )
 
 
