Refuse jobs of queues that need tickets, and split the node and the owner

Cause: a start without a ticket is refused by every worker, which looked like silence, so jobs of such a queue would wait until they were late. Found by reading the protocol. Change: such jobs are refused with 501 and the field's name. Failure domains that were cut off, the list of workers, the directory of entries and the judgement of workers are modules of their own.

--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -40,6 +40,7 @@
 from zincwell.platform._callers import CallerListener
 from zincwell.platform._settings import read_settings
 from zincwell.platform._store import HttpStore
+from zincwell.platform._wire import decode_configuration
 from zincwell.platform._worker import HttpWorkerClient
 
 SETTINGS = """\
@@ -379,6 +380,28 @@
     assert_that(node.desk.jobs, Equals([]))
 
 
+async def test_jobs_of_a_queue_that_needs_tickets_are_refused(session, callers, node):
+    # Symptom: workers seem silent and jobs wait until they are late. Sequence: a start without a
+    # ticket is refused by every worker. Cause: the queue is taken for one like the others.
+    document = {
+        "version": 2,
+        "routes": [
+            {
+                "name": "r",
+                "host": "h.example",
+                "pathPrefix": "/q/",
+                "service": "svc",
+                "advice": {"decisionMs": 40, "periodMs": 5, "validMs": 3000},
+            }
+        ],
+    }
+    node.configuration = decode_configuration(json.dumps(document).encode())
+    answered, body, _ = await post(session, callers, JOB)
+    assert_that(answered, Equals(501))
+    assert_that(body["error"], Contains("advice"))
+    assert_that(node.desk.jobs, Equals([]))
+
+
 async def test_bodies_that_are_no_json_and_ids_of_the_wrong_form(session, callers):
     assert_that((await post(session, callers, b"{"))[0], Equals(400))
     assert_that((await post(session, callers, JOB, job_id="short"))[0], Equals(400))
--- /dev/null
+++ b/zincwell/dispatch/_directory.py
@@ -0,0 +1,129 @@
+"""The entries of the pool and the links to them."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import logging
+from collections.abc import Callable
+
+from zincwell.dispatch._domains import DOMAIN_SILENT_S
+from zincwell.dispatch._messages import Hello, Receipt
+from zincwell.dispatch._peers import LinkObserver, PeerLink
+from zincwell.dispatch._types import EntryInfo
+from zincwell.dispatch.ports import PeerClient
+
+log = logging.getLogger("zincwell.directory")
+
+# An entry that is silent for this long is not counted any more when entries vote.
+GONE_S = 5.0
+
+
+class EntryDirectory:
+    """Knows all entries, this one included, and opens links to the others.
+
+    :param clock: this entry's clock; it counts the time that the VM was suspended.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: EntryInfo,
+        client: PeerClient,
+        observer: LinkObserver,
+        clock: Callable[[], float],
+    ) -> None:
+        self.entries_by_name: dict[str, EntryInfo] = {me.name: me}
+        self.links_by_name: dict[str, PeerLink] = {}
+        self._me = me
+        self._client = client
+        self._observer = observer
+        self._clock = clock
+        self._sequences = itertools.count(1)
+        self._loop = asyncio.get_running_loop()
+
+    def close(self) -> None:
+        """Close all links."""
+        for link in self.links_by_name.values():
+            link.close()
+
+    def note(self, entry: EntryInfo) -> None:
+        """Take note of an entry, or of a new life of it."""
+        if entry.name == self._me.name:
+            return
+        known = self.entries_by_name.get(entry.name)
+        if known is not None and known.started_at >= entry.started_at:
+            return
+        log.info("entry_seen entry=%s address=%s", entry.name, entry.address)
+        self.entries_by_name[entry.name] = entry
+        link = self.links_by_name.pop(entry.name, None)
+        if link is not None:
+            link.close()
+
+    def note_heard(self, name: str) -> None:
+        """Note that something came from an entry."""
+        link = self.links_by_name.get(name)
+        if link is not None:
+            link.note_heard()
+
+    def link(self, entry: EntryInfo) -> PeerLink:
+        """Return the link to this life of an entry."""
+        link = self.links_by_name.get(entry.name)
+        if link is None or link.peer.incarnation != entry.incarnation:
+            if link is not None:
+                link.close()
+            link = PeerLink(
+                me=self._me,
+                peer=entry,
+                client=self._client,
+                observer=self._observer,
+                sequences=self._sequences,
+                clock=self._clock,
+            )
+            self.links_by_name[entry.name] = link
+        return link
+
+    def idle_links(self) -> list[PeerLink]:
+        """Return the links to all other entries that have nothing to deliver."""
+        others = [e for e in self.entries_by_name.values() if e.name != self._me.name]
+        links = [self.link(entry) for entry in others]
+        return [link for link in links if link.is_idle()]
+
+    def known(self) -> list[EntryInfo]:
+        """Return all entries that are not known to be gone, this one included."""
+        return [entry for entry in self.entries_by_name.values() if not self._is_gone(entry)]
+
+    def _is_gone(self, entry: EntryInfo) -> bool:
+        link = self.links_by_name.get(entry.name)
+        return link is not None and not link.is_idle() and link.silence_s() > GONE_S
+
+    def probe(self) -> None:
+        """Ask the other entries whether they hear the owner."""
+        for link in self.idle_links():
+            link.send(Hello())
+
+    def fresh_receipts(self, age_s: float) -> list[Receipt]:
+        """Return the acknowledgements of other entries that are younger than an age."""
+        return [
+            link.last_receipt
+            for link in self.links_by_name.values()
+            if link.last_receipt is not None and self._loop.time() - link.last_receipt_at < age_s
+        ]
+
+    def successors(self) -> list[str]:
+        """Return the entries that answer, in the order in which they should take over."""
+        alive = [
+            link
+            for link in self.links_by_name.values()
+            if link.last_receipt is not None
+            and not link.last_receipt.leaving
+            and link.silence_s() < DOMAIN_SILENT_S
+        ]
+        alive.sort(key=lambda link: link.peer.rank_as_owner())
+        return [link.peer.name for link in alive]
+
+    def withdraw_jobs(self, *, owner: str) -> None:
+        """Take back jobs that were not delivered to any entry but the owner."""
+        for name, link in self.links_by_name.items():
+            if name != owner:
+                link.withdraw_jobs()
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import logging
-import math
 from collections.abc import Callable
 
 import msgspec
 
 from zincwell.dispatch._callers import CallerDesk, OwnerChannel
+from zincwell.dispatch._directory import EntryDirectory
+from zincwell.dispatch._domains import DomainWatch
 from zincwell.dispatch._election import (
     LIVENESS_S,
     OWNER_KEY,
@@ -19,6 +19,7 @@
     decode_claim,
 )
 from zincwell.dispatch._feeds import TopicFollower
+from zincwell.dispatch._listing import WorkerListing
 from zincwell.dispatch._messages import (
     Beat,
     Cancel,
@@ -51,20 +52,6 @@
 # be done by then with one read lost, the others only so that a successor starts well informed.
 WORKERS_PAUSE_OWNER_S = 0.4
 WORKERS_PAUSE_S = 1.5
-# Entries of a failure domain that are all silent for this long are taken to be cut off. Their
-# jobs are stopped, since a stand-in there starts them again 1.4 s after its take-over.
-DOMAIN_SILENT_S = 0.6
-# After a domain is heard again, its entries hand their jobs over and its workers are listed anew
-# within this many seconds.
-DOMAIN_BACK_S = 3.0
-# A new owner that heard none for this long can't know which domains were cut off meanwhile. A
-# take-over is done 0.9 s after the last heartbeat.
-UNINFORMED_S = 1.5
-# Workers that lapsed in the list, as they do while the store is away, are back in it about two
-# seconds after the store is; a new owner still asks those that lapsed within this many seconds.
-LAPSED_S = 5.0
-# An entry that is silent for this long is not counted any more when entries vote.
-GONE_S = 5.0
 # The balancer takes an entry out after two probes of 1 s; until then callers still come.
 DRAIN_LINGER_S = 2.5
 # Time kept before SIGKILL to answer what is still open.
@@ -98,23 +85,15 @@
         self.pending_by_route: dict[str, int] = {}
         self._store = store
         self._worker_client = workers
-        self._peer_client = peers
         self._limits = limits
         self._loop = asyncio.get_running_loop()
         self._clock = clock or self._loop.time
-        self._links_by_name: dict[str, PeerLink] = {}
-        self._entries_by_name: dict[str, EntryInfo] = {me.name: me}
+        self._directory = EntryDirectory(me=me, client=peers, observer=self, clock=self._clock)
         self._inbox = Inbox()
-        self._sequences = itertools.count(1)
         self._metrics = Metrics()
         self._owner: Owner | None = None
-        self._elected_at = 0.0
-        self._beat_at = -math.inf
-        self._listed_by_id: dict[str, WorkerInfo] = {}
-        self._lapsed_by_id: dict[str, tuple[WorkerInfo, float]] = {}
-        # When an entry of some failure domain was last out of hearing, by what this entry saw as
-        # owner, or by the owner's heartbeats. Until it has heard one, it knows of nothing.
-        self._domain_missed_at = self._loop.time()
+        self._domains = DomainWatch(me=me)
+        self._listing = WorkerListing()
         self._tasks = TaskGroup()
 
     def open(self) -> None:
@@ -151,8 +130,7 @@
             feed.close()
         if self._owner is not None:
             self._owner.close()
-        for link in self._links_by_name.values():
-            link.close()
+        self._directory.close()
         self._tasks.close()
 
     def is_ready(self) -> bool:
@@ -170,7 +148,7 @@
             "configuration_version": self.configuration_version(),
             "configuration_age_seconds": self._loop.time() - self._configuration_feed.read_at,
             "callers_waiting": self.desk.count(),
-            "entries_known": len(self._entries_by_name),
+            "entries_known": len(self._directory.entries_by_name),
         }
         if self._owner is not None:
             gauges.update(self._owner.gauges())
@@ -197,7 +175,7 @@
         log.info("drained after_s=%.1f", self._loop.time() - started)
 
     def _must_hand_over(self) -> bool:
-        return self.election.is_owner() and len(self._entries_by_name) > 1
+        return self.election.is_owner() and len(self._directory.entries_by_name) > 1
 
     # -- what the store tells ---------------------------------------------------------------
 
@@ -219,21 +197,9 @@
         return self.configuration.version if self.configuration else 0
 
     def _on_workers(self, keys: set[str]) -> None:
-        listed = self._worker_infos()
-        for worker_id in self._listed_by_id.keys() - listed.keys():
-            self._lapsed_by_id[worker_id] = (self._listed_by_id[worker_id], self._loop.time())
-        for worker_id in self._lapsed_by_id.keys() & listed.keys():
-            del self._lapsed_by_id[worker_id]
-        self._listed_by_id = listed
+        self._listing.update(self._worker_infos())
         if self._owner is not None:
-            self._owner.set_workers(listed)
-
-    def _lapsed_lately(self) -> list[WorkerInfo]:
-        """Return workers that have left the list and may be at work all the same."""
-        now = self._loop.time()
-        lapsed = self._lapsed_by_id.items()
-        self._lapsed_by_id = {i: (info, at) for i, (info, at) in lapsed if now - at < LAPSED_S}
-        return [info for info, _ in self._lapsed_by_id.values() if not info.draining]
+            self._owner.set_workers(self._listing.listed_by_id)
 
     def _worker_infos(self) -> dict[str, WorkerInfo]:
         return {
@@ -250,19 +216,7 @@
             if key == OWNER_KEY:
                 self.election.note_claim(record.offset, decode_claim(record.value))
             else:
-                self._note_entry(msgspec.json.decode(record.value, type=EntryInfo))
-
-    def _note_entry(self, entry: EntryInfo) -> None:
-        if entry.name == self.me.name:
-            return
-        known = self._entries_by_name.get(entry.name)
-        if known is not None and known.started_at >= entry.started_at:
-            return
-        log.info("entry_seen entry=%s address=%s", entry.name, entry.address)
-        self._entries_by_name[entry.name] = entry
-        link = self._links_by_name.pop(entry.name, None)
-        if link is not None:
-            link.close()
+                self._directory.note(msgspec.json.decode(record.value, type=EntryInfo))
 
     async def _register(self) -> None:
         value = msgspec.json.encode(self.me)
@@ -276,28 +230,10 @@
 
     # -- other entries ----------------------------------------------------------------------
 
-    def _link(self, entry: EntryInfo) -> PeerLink:
-        link = self._links_by_name.get(entry.name)
-        if link is None or link.peer.incarnation != entry.incarnation:
-            if link is not None:
-                link.close()
-            link = PeerLink(
-                me=self.me,
-                peer=entry,
-                client=self._peer_client,
-                observer=self,
-                sequences=self._sequences,
-                clock=self._clock,
-            )
-            self._links_by_name[entry.name] = link
-        return link
-
     def receive(self, envelope: Envelope) -> Receipt:
         """Handle an envelope of another entry."""
-        self._note_entry(envelope.sender)
-        link = self._links_by_name.get(envelope.sender.name)
-        if link is not None:
-            link.note_heard()
+        self._directory.note(envelope.sender)
+        self._directory.note_heard(envelope.sender.name)
         self.election.note_owner_alive(envelope.sender.incarnation, envelope.fence)
         late = self._inbox.is_late(envelope, now=self._clock())
         if self._inbox.is_new(envelope):
@@ -329,7 +265,8 @@
                 self._owner.cancel(message.job, entry=sender.name)
         elif isinstance(message, Beat):
             self.election.note_beat(message)
-            self._note_complete(message)
+            if self._owner is None and message.fence >= self.election.fence:
+                self._domains.note_beat(message)
             self.pending_by_route = message.pending
         elif isinstance(message, ConfigurationCopy):
             self._take_configuration(message.configuration, sender.name)
@@ -354,7 +291,7 @@
     def on_receipt(self, link: PeerLink, receipt: Receipt) -> None:
         """Take note of an acknowledgement."""
         if receipt.receiver.incarnation != link.peer.incarnation:
-            self._note_entry(receipt.receiver)
+            self._directory.note(receipt.receiver)
         self.election.note_receipt(receipt)
         if receipt.late:
             self.desk.hand_again(after_s=0)
@@ -362,61 +299,36 @@
             self._send_configuration(receipt.receiver)
 
     def _send_configuration(self, entry: EntryInfo) -> None:
-        link = self._link(entry)
+        link = self._directory.link(entry)
         if link.is_idle() and self.configuration is not None:
             link.send(ConfigurationCopy(configuration=self.configuration))
 
     def known_entries(self) -> list[EntryInfo]:
         """Return all entries that are not known to be gone, this one included."""
-        return [e for e in self._entries_by_name.values() if not self._is_gone(e)]
-
-    def _is_gone(self, entry: EntryInfo) -> bool:
-        link = self._links_by_name.get(entry.name)
-        return link is not None and not link.is_idle() and link.silence_s() > GONE_S
+        return self._directory.known()
 
     def probe(self) -> None:
         """Ask the other entries whether they hear the owner."""
-        for entry in self.known_entries():
-            if entry.name != self.me.name:
-                link = self._link(entry)
-                if link.is_idle():
-                    link.send(Hello())
+        self._directory.probe()
 
     def fresh_receipts(self, age_s: float) -> list[Receipt]:
         """Return the acknowledgements of other entries that are younger than an age."""
-        return [
-            link.last_receipt
-            for link in self._links_by_name.values()
-            if link.last_receipt is not None and self._loop.time() - link.last_receipt_at < age_s
-        ]
-
-    def _note_complete(self, beat: Beat) -> None:
-        """Take over what the owner knows about domains that were away.
-
-        Workers of a domain that is cut off lapse in the list and run on under a stand-in. An
-        entry that becomes owner just after the cut would take the workers that are listed for all
-        there are, and start again what the others run.
-        """
-        if self._owner is not None or beat.fence < self.election.fence:
-            return
-        self._beat_at = self._loop.time()
-        self._domain_missed_at = self._beat_at - (0.0 if beat.domain else beat.complete_s)
+        return self._directory.fresh_receipts(age_s)
 
     # -- the owner's part -------------------------------------------------------------------
 
     def on_owner(self, owner: EntryInfo, fence: int, domain: str) -> None:
         """Follow another entry as owner."""
         self._close_owner()
-        self._note_entry(owner)
-        self._withdraw_jobs(owner.name)
-        self._link(owner).send(Hello())
+        self._directory.note(owner)
+        self._directory.withdraw_jobs(owner=owner.name)
+        self._directory.link(owner).send(Hello())
         self.desk.hand_over()
 
     def on_elected(self, fence: int, domain: str) -> None:
         """Be the owner, or the stand-in for a failure domain."""
         self._metrics.count("elections", f'domain="{domain}"')
-        if self._owner is None and self._loop.time() - self._beat_at > UNINFORMED_S:
-            self._domain_missed_at = self._loop.time()
+        self._domains.note_elected(extended=self._owner is not None)
         if self._owner is not None and not domain:
             self._owner.extend(fence)
         else:
@@ -431,19 +343,12 @@
             )
         self._workers_feed.pause_s = WORKERS_PAUSE_OWNER_S
         self._workers_feed.read_soon()
-        self._owner.set_workers(self._listed_by_id)
-        self._owner.expect_workers(self._lapsed_lately())
-        self._elected_at = self._loop.time()
-        self._withdraw_jobs(self.me.name)
+        self._owner.set_workers(self._listing.listed_by_id)
+        self._owner.expect_workers(self._listing.lapsed_lately())
+        self._directory.withdraw_jobs(owner=self.me.name)
         self._send_beats()
         self.desk.hand_over()
 
-    def _withdraw_jobs(self, owner: str) -> None:
-        """Take back jobs that were not delivered to earlier owners."""
-        for name, link in self._links_by_name.items():
-            if name != owner:
-                link.withdraw_jobs()
-
     def _close_owner(self) -> None:
         if self._owner is not None:
             self._owner.close()
@@ -463,9 +368,9 @@
             if name == self.me.name:
                 self._loop.call_soon(self._handle, self.me, message)
                 continue
-            entry = self._entries_by_name.get(name)
+            entry = self._directory.entries_by_name.get(name)
             if entry is not None:
-                self._link(entry).send(message)
+                self._directory.link(entry).send(message)
 
     def on_superseded(self) -> None:
         """Find out who the owner is: a worker obeys a higher fencing token."""
@@ -502,57 +407,28 @@
         beat = Beat(
             fence=self._owner.fence,
             owner=self.me,
-            successors=self._successors(),
+            successors=self._directory.successors(),
             domain=self._owner.domain or "",
-            complete_s=self._loop.time() - self._domain_missed_at,
+            complete_s=self._domains.complete_s(),
             leaving=self.leaving,
             pending=self._owner.pending_by_route(),
         )
         self.pending_by_route = beat.pending
-        for entry in list(self._entries_by_name.values()):
-            if entry.name == self.me.name:
-                continue
-            link = self._link(entry)
-            if link.is_idle():
-                link.send(beat)
-
-    def _successors(self) -> list[str]:
-        """Return the entries that answer, in the order in which they should take over."""
-        alive = [
-            link
-            for link in self._links_by_name.values()
-            if link.last_receipt is not None
-            and not link.last_receipt.leaving
-            and link.silence_s() < DOMAIN_SILENT_S
-        ]
-        alive.sort(key=lambda link: link.peer.rank_as_owner())
-        return [link.peer.name for link in alive]
+        for link in self._directory.idle_links():
+            link.send(beat)
 
     def hears_all_domains(self) -> bool:
         """Return whether an entry of each failure domain answers, and has for a while."""
-        zones = {entry.zone for entry in self._entries_by_name.values()} - {self.me.zone}
-        heard = {
-            link.peer.zone
-            for link in self._links_by_name.values()
-            if link.last_receipt_at >= self._elected_at and link.silence_s() < DOMAIN_SILENT_S
-        }
-        if zones - heard:
-            return False
-        return self._loop.time() - self._domain_missed_at > DOMAIN_BACK_S
+        return self._domains.hears_all(
+            self._directory.entries_by_name.values(), self._directory.links_by_name.values()
+        )
 
     def _drop_cut_domains(self) -> None:
         """Stop the jobs of failure domains that are cut off as a whole."""
-        silent_by_domain: dict[str, bool] = {}
-        for entry in self._entries_by_name.values():
-            if entry.zone == self.me.zone:
-                continue
-            link = self._links_by_name.get(entry.name)
-            silent = link is not None and link.silence_s() > DOMAIN_SILENT_S
-            silent_by_domain[entry.zone] = silent and silent_by_domain.get(entry.zone, True)
-        if any(silent_by_domain.values()):
-            self._domain_missed_at = self._loop.time()
-        for entry in self._entries_by_name.values():
-            if silent_by_domain.get(entry.zone):
+        entries = self._directory.entries_by_name.values()
+        cut_off = self._domains.find_cut_off(entries, self._directory.links_by_name)
+        for entry in entries:
+            if entry.zone in cut_off:
                 self._owner.drop_entry(entry.name)
 
     async def _show_life_forever(self) -> None:
@@ -591,4 +467,4 @@
         if owner.incarnation == self.me.incarnation:
             self._handle(self.me, message)
         else:
-            self._link(owner).send(message)
+            self._directory.link(owner).send(message)
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -6,6 +6,7 @@
 import asyncio
 import logging
 
+from zincwell.dispatch._health import WorkerJudge
 from zincwell.dispatch._jobs import AnswerMemory, Job, Task, TaskState
 from zincwell.dispatch._metrics import Metrics
 from zincwell.dispatch._placement import choose_worker, could_ever_fit, queue_key
@@ -28,14 +29,6 @@
 SETTLE_MARGIN_S = 0.05
 # How often waiting jobs are looked at for having waited too long, in seconds.
 REVIEW_S = 0.02
-# A worker that failed tasks of this many jobs in a row, while others succeed, is set aside.
-FAILURES_TO_SET_ASIDE = 2
-SET_ASIDE_S = 2.0
-# At most this share of the workers is set aside, so that bad jobs don't empty the pool.
-MAX_SHARE_ASIDE = 0.34
-# A run whose progress stands still for this long is started elsewhere. Progress comes in
-# percent: a task of 3.6 s, the longest seen, gains one every 36 ms.
-STALL_S = 0.6
 # Coming back is worth a try after this many seconds.
 RETRY_AFTER_S = 1.0
 # A job that has not started is refused once it can end only after this many objectives. Waiting
@@ -94,6 +87,9 @@
         self._ended_elsewhere: dict[TaskId, EndKind] = {}
         self._loop = asyncio.get_running_loop()
         self._pump_planned = False
+        self._judge = WorkerJudge(
+            sessions_by_id=self.sessions_by_id, on_room=self.on_room, metrics=metrics
+        )
         self._tasks = TaskGroup()
         self._tasks.spawn(self._review_forever())
 
@@ -405,7 +401,7 @@
         self.on_room()
         job = self.jobs_by_id.get(run.task.job)
         task = job.task(run.task) if job is not None else None
-        self._judge_worker(session, run, fate)
+        self._judge.note_end(session, run, fate)
         labels = f'service="{session.info.service}",fate="{fate.name.lower()}"'
         self._metrics.record("run", self._loop.time() - run.ordered_at, labels)
         if job is None or task is None or task.state is not TaskState.RUNNING:
@@ -485,29 +481,6 @@
         self.suspended = False
         self.on_room()
 
-    def _judge_worker(self, session: WorkerSession, run: Run, fate: RunFate) -> None:
-        """Set a worker aside that fails what others do.
-
-        A worker that fails everything at once looks idle and would draw the whole queue. Failures
-        of one job count once, so that a job that can't be done does not set workers aside.
-        """
-        if fate is RunFate.DONE:
-            session.failed_jobs.clear()
-            return
-        if fate is not RunFate.FAILED:
-            return
-        session.failed_jobs.add(run.task.job)
-        if len(session.failed_jobs) < FAILURES_TO_SET_ASIDE:
-            return
-        now = self._loop.time()
-        aside = sum(1 for other in self.sessions_by_id.values() if other.aside_until > now)
-        if aside + 1 > MAX_SHARE_ASIDE * len(self.sessions_by_id):
-            return
-        self._metrics.count("workers_set_aside")
-        log.warning("worker_set_aside worker=%s for_s=%s", session.info.id, SET_ASIDE_S)
-        session.aside_until = now + SET_ASIDE_S
-        self._loop.call_later(SET_ASIDE_S, self.on_room)
-
     # -- what time brings -------------------------------------------------------------------
 
     async def _review_forever(self) -> None:
@@ -516,7 +489,7 @@
             now = self._loop.time()
             self._refuse_hopeless(now)
             self._stop_strangers(now)
-            self._move_stalled(now)
+            self._judge.move_stalled()
             if any(job.exposed and job.waiting for job in self.jobs_by_id.values()):
                 self.on_room()
 
@@ -558,22 +531,3 @@
                 )
                 session.strangers_since = now
                 session.stop_strangers()
-
-    def _move_stalled(self, now: float) -> None:
-        """Stop runs that stand still, so that they start elsewhere."""
-        for session in self.sessions_by_id.values():
-            if session.silent:
-                continue
-            for run in session.runs.values():
-                if run.stopping or not run.progress_at or now - run.progress_at < STALL_S:
-                    continue
-                if session.last_answer_at - run.progress_at < STALL_S:
-                    continue
-                log.warning(
-                    "run_stalled task=%s worker=%s percent=%s",
-                    run.task,
-                    session.info.id,
-                    run.percent,
-                )
-                session.stop(run)
-                session.aside_until = now + SET_ASIDE_S
--- a/zincwell/dispatch/_types.py
+++ b/zincwell/dispatch/_types.py
@@ -112,7 +112,10 @@
 
 
 class Route(Struct, frozen=True, kw_only=True):
-    """Which jobs go to which service, and how urgent they are."""
+    """Which jobs go to which service, and how urgent they are.
+
+    :param ticketed: a start is obeyed only with a ticket that another service gives.
+    """
 
     name: str
     host: str
@@ -122,6 +125,7 @@
     attempts: int = 1
     stretch: float = 1.0
     objective_ms: int = 0
+    ticketed: bool = False
 
 
 class Configuration(Struct, frozen=True, kw_only=True):
--- a/zincwell/platform/_wire.py
+++ b/zincwell/platform/_wire.py
@@ -53,7 +53,10 @@
 
 
 class RouteBody(Struct, rename="camel"):
-    """A route of the configuration; ``slo_ms`` comes on top of the stretched run time."""
+    """A route of the configuration.
+
+    ``slo_ms`` comes on top of the stretched run time; with ``advice``, starts need tickets.
+    """
 
     name: str
     host: str
@@ -63,6 +66,7 @@
     attempts: int = 1
     stretch: float = 1.0
     slo_ms: float = 0
+    advice: dict | None = None
 
 
 class ServiceBody(Struct, rename="camel"):
@@ -126,7 +130,7 @@
         job = msgspec.json.decode(body, type=JobBody)
     except msgspec.MsgspecError as error:
         raise BadRequestError(str(error)) from error
-    _check_supported(job)
+    _check_supported(job, route)
     if len(job.spec.encode()) > MAX_SPEC_BYTES:
         raise BadRequestError(f"spec: longer than {MAX_SPEC_BYTES} bytes")
     if not 0 < len(job.steps) <= MAX_STEPS:
@@ -147,7 +151,9 @@
     )
 
 
-def _check_supported(job: JobBody) -> None:
+def _check_supported(job: JobBody, route: Route) -> None:
+    if route.ticketed:
+        raise UnsupportedJobError("advice: queues whose starts need a ticket are not supported")
     if not job.best_effort:
         raise UnsupportedJobError("bestEffort: jobs that must be stored are not supported")
     if job.times:
@@ -204,6 +210,7 @@
                 attempts=route.attempts,
                 stretch=route.stretch,
                 objective_ms=int(route.slo_ms),
+                ticketed=bool(route.advice),
             )
             for route in document.routes
         ],
