--- a/bench/soak/_store.py
+++ b/bench/soak/_store.py
@@ -59,7 +59,7 @@
             "/v1/log-newest": self._newest,
         }
         response = await calls[request.path](entry, request.query, body)
-        if self._random.random() < self.lost_share:
+        if self._random.random() < self.lost_share and request.transport is not None:
             request.transport.abort()
         return response
 
--- a/bench/soak/_worker.py
+++ b/bench/soak/_worker.py
@@ -105,11 +105,11 @@
         if self.late_start_s:
             asyncio.get_running_loop().call_later(self.late_start_s, self._start, body, self.lives)
             await asyncio.sleep(self.late_start_s)
-            request.transport.abort()
+            _break_off(request)
             return web.Response(status=500)
         response = self._start(body, self.lives)
         if self._random.random() < self.lost_start_share:
-            request.transport.abort()
+            _break_off(request)
         return response
 
     def _start(self, body: dict, life: int) -> web.Response:
@@ -196,3 +196,8 @@
 
     def _refuse(self, reason: str) -> web.Response:
         return web.json_response({"clockMs": self.clock_ms(), "reason": reason}, status=409)
+
+
+def _break_off(request: web.BaseRequest) -> None:
+    if request.transport is not None:
+        request.transport.abort()
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -8,8 +8,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals
 
-from zincwell.platform.__main__ import METRICS_PORT
 from zincwell.platform._callers import METRICS_PATH
+from zincwell.platform._process import METRICS_PORT
 
 ROOT = Path(__file__).parents[1]
 
--- /dev/null
+++ b/zincwell/platform/_process.py
@@ -0,0 +1,128 @@
+"""The process of one entry: its parts, its listeners, its signals."""
+
+from __future__ import annotations
+
+import asyncio
+import faulthandler
+import gc
+import logging
+import os
+import signal
+import time
+import uuid
+from pathlib import Path
+
+import aiohttp
+import uvloop
+from aiohttp import web
+
+from zincwell.dispatch import Node
+from zincwell.dispatch._types import EntryInfo
+from zincwell.exceptions import SettingsError
+from zincwell.logs import set_up_bounded_logs
+from zincwell.platform._callers import CallerListener, MetricsListener, ReadyListener
+from zincwell.platform._peers import HttpPeerClient, PeerListener
+from zincwell.platform._settings import PlatformSettings, read_settings
+from zincwell.platform._store import HttpStore
+from zincwell.platform._worker import HttpWorkerClient
+
+log = logging.getLogger("zincwell.process")
+
+SETTINGS_VARIABLE = "ZINCWELL_CONFIG"
+DEFAULT_SETTINGS = "/etc/zincwell/local.conf"
+# Idle connections are closed after this many seconds: workers allow 64 each, and one that went
+# silent is then not met again.
+KEEP_ALIVE_S = 15.0
+# Most connections to one worker, of the 64 that it allows to all entries together.
+CONNECTIONS_PER_HOST = 12
+# As the deploy file says; the usual port of metrics in text form.
+METRICS_PORT = 9464
+# Answers of open requests are written out before the process ends.
+CLOSE_S = 0.2
+
+
+def main() -> int:
+    """Run until SIGTERM; return the exit status."""
+    # A crash in a compiled library leaves no Python error; this writes where it happened.
+    faulthandler.enable()
+    set_up_bounded_logs(logging.INFO)
+    path = Path(os.environ.get(SETTINGS_VARIABLE, DEFAULT_SETTINGS))
+    try:
+        settings = read_settings(path)
+    except SettingsError as error:
+        log.error('settings_wrong error="%s"', error)
+        return 2
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(_serve(settings, path))
+    return 0
+
+
+async def _serve(settings: PlatformSettings, path: Path) -> None:
+    stop_asked = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, stop_asked.set)
+    loop.add_signal_handler(signal.SIGINT, stop_asked.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, path)
+    connector = aiohttp.TCPConnector(
+        limit=0, limit_per_host=CONNECTIONS_PER_HOST, keepalive_timeout=KEEP_ALIVE_S
+    )
+    async with aiohttp.ClientSession(connector=connector) as session:
+        node = _make_node(settings, session)
+        log.info(
+            "started entry=%s zone=%s incarnation=%s peers=%s",
+            node.me.name,
+            node.me.zone,
+            node.me.incarnation,
+            node.me.address,
+        )
+        node.open()
+        runners = [
+            await _listen(settings.ready, ReadyListener(node=node).handle),
+            await _listen(settings.peers, PeerListener(receive=node.receive).handle),
+            await _listen(settings.callers, CallerListener(node=node).handle),
+            await _listen(f"{settings.ip}:{METRICS_PORT}", MetricsListener(node=node).handle),
+        ]
+        gc.collect()
+        gc.freeze()
+        await stop_asked.wait()
+        await node.drain()
+        await asyncio.sleep(CLOSE_S)
+        node.close()
+        for runner in runners:
+            runner.close()
+    log.info("stopped entry=%s", settings.name)
+
+
+def _make_node(settings: PlatformSettings, session: aiohttp.ClientSession) -> Node:
+    me = EntryInfo(
+        name=settings.name,
+        address=settings.peers_advertised,
+        zone=settings.zone,
+        incarnation=uuid.uuid4().hex[:12],
+        started_at=time.time(),
+        cores=settings.cores,
+    )
+    return Node(
+        me=me,
+        store=HttpStore(address=settings.store, session=session),
+        workers=HttpWorkerClient(session=session),
+        peers=HttpPeerClient(session=session),
+        limits=settings.limits,
+        clock=lambda: time.clock_gettime(time.CLOCK_BOOTTIME),
+    )
+
+
+async def _listen(address: str, handler) -> asyncio.AbstractServer:
+    host, _, port = address.rpartition(":")
+    server = web.Server(handler, handler_cancellation=True, access_log=None)
+    return await asyncio.get_running_loop().create_server(server, host, int(port), backlog=512)
+
+
+def _reload(path: Path) -> None:
+    """Read the settings again; addresses stay as they are until the next start."""
+    try:
+        read_settings(path)
+    except SettingsError as error:
+        log.error('settings_wrong error="%s"', error)
+        return
+    log.info("settings_read path=%s", path)
