Let jobs that have begun and are overdue go before all others

Cause: a job of which some tasks have run can't be refused any more; under more urgent jobs than the workers can run, its last tasks waited for as long as these came. Change: a job that has begun and is past its objective comes first in the queue. The test is red without it.

--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -288,3 +288,21 @@
     await asyncio.sleep(2)
     assert_that(verdicts(jobs), Equals({Verdict.SUCCEEDED}))
     assert_that(world.owners(), HasLength(1))
+
+
+async def test_a_job_that_has_begun_is_not_starved_by_more_urgent_ones(world: World):
+    # Symptom: a caller waits half a minute and leaves. Sequence: some tasks of a job have run;
+    # from then on more urgent jobs come than the workers can run. Cause: the job can't be refused
+    # any more, and its last tasks always come after the urgent ones.
+    await world.open()
+    low = submit(world, other_than(world), "low", count=16, run_ms=900, priority=2)
+    await asyncio.sleep(0.1)
+    urgent = []
+    for number in range(100):
+        urgent.append(submit(world, other_than(world), f"urgent-{number}", count=4))
+        await asyncio.sleep(0.05)
+        if low.done():
+            break
+    assert_that(low.done(), Equals(True))
+    assert_that(low.result().verdict, Equals(Verdict.SUCCEEDED))
+    await finish(urgent)
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -337,7 +337,7 @@
             if session.can_start(now):
                 by_service.setdefault(session.info.service, []).append(session)
         all_held = self._all_held()
-        for job in sorted(waiting, key=queue_key):
+        for job in sorted(waiting, key=lambda job: queue_key(job, now)):
             if self._may_run_unseen(job, all_held, now):
                 continue
             self._place_job(job, by_service.get(job.request.service, []), now)
--- a/zincwell/dispatch/_placement.py
+++ b/zincwell/dispatch/_placement.py
@@ -9,9 +9,14 @@
 from zincwell.dispatch._worker import WorkerSession
 
 
-def queue_key(job: Job) -> tuple[int, float, float]:
-    """Return the place of a job in the queue: urgent first, then short, then old."""
-    return (job.request.priority, job.estimate_s, job.arrived_at)
+def queue_key(job: Job, now: float) -> tuple[bool, int, float, float]:
+    """Return the place of a job in the queue: urgent first, then short, then old.
+
+    A job that has begun and is past its objective goes before all others. It can't be refused any
+    more, and behind jobs that are more urgent its last tasks would wait for as long as these come.
+    """
+    overdue = job.started and now - job.arrived_at > job.request.slo_s()
+    return (not overdue, job.request.priority, job.estimate_s, job.arrived_at)
 
 
 def choose_worker(
