--- a/bench/soak/_callers.py
+++ b/bench/soak/_callers.py
@@ -13,14 +13,17 @@
 
 HOST = "soak.example"
 ROUTES = ("urgent", "usual", "late")
+# Callers send a job again this long after they got no answer, as the platform's do.
 RESEND_S = 1.3
 MAX_SENDINGS = 3
 # A caller that has no answer after this many seconds calls the job unanswered.
 PATIENCE_S = 30.0
 # A channel that ends sooner after the request may have crossed with it.
 CROSSING_S = 0.2
+# Seconds between jobs, which ask for a good half of the workers.
 PAUSE_S = (0.02, 0.15)
-CANCELLED_SHARE = 0.03
+# This share of the callers leaves within 0.3 s.
+LEAVING_SHARE = 0.03
 
 
 class Callers:
@@ -88,7 +91,7 @@
         step = {"count": job.count, "cpu": job.cpu, "memMb": 64, "estimateMs": job.run_s * 1000}
         body = {"spec": job.spec, "bestEffort": True, "steps": [step]}
         timeout = aiohttp.ClientTimeout(total=PATIENCE_S, sock_connect=1.0)
-        if self._random.random() < CANCELLED_SHARE:
+        if self._random.random() < LEAVING_SHARE:
             timeout = aiohttp.ClientTimeout(total=self._random.uniform(0.05, 0.3))
         try:
             async with self._session.post(
--- a/bench/soak/_faults.py
+++ b/bench/soak/_faults.py
@@ -19,6 +19,8 @@
 log = logging.getLogger("soak")
 
 STORE = "store"
+# Seconds from one fault to the next, of a cut or a bad store, and of a process that stands still;
+# drawn evenly. Take-overs take 0.5 s to 2 s, leases last 1 s, workers lapse in no list here.
 GAP_S = (0.0, 1.5)
 LENGTH_S = (0.3, 5.0)
 PAUSE_S = (0.2, 4.0)
@@ -222,11 +224,11 @@
     async def crash_worker(self) -> None:
         """Crash a worker; its next life has another id."""
         worker = self._random.choice(self._workers)
-        before = worker.id
+        earlier_id = worker.id
         worker.crash()
         self._list(worker)
         await asyncio.sleep(1.0)
-        self._store.put(SERVERS, before, b"")
+        self._store.put(SERVERS, earlier_id, b"")
 
     async def drain_worker(self) -> None:
         """Let a worker leave by plan, and come back under another id."""
@@ -235,16 +237,12 @@
             return
         worker.draining_since = time.monotonic()
         self._list(worker)
+        life = worker.lives
         await asyncio.sleep(3.0)
-        await self.crash_worker_if(worker, worker.lives)
-
-    async def crash_worker_if(self, worker: StandInWorker, life: int) -> None:
-        """End a life of a worker, unless it has ended."""
-        if worker.lives != life:
-            return
-        self._store.put(SERVERS, worker.id, b"")
-        worker.crash()
-        self._list(worker)
+        if worker.lives == life:
+            self._store.put(SERVERS, worker.id, b"")
+            worker.crash()
+            self._list(worker)
 
     async def worker_loses_answers(self) -> None:
         """Let answers of a worker to starts get lost."""
