--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -179,6 +179,7 @@
     path.write_text(SETTINGS)
     settings = read_settings(path)
     assert_that(settings.peers, Equals("10.1.0.13:7720"))
+    assert_that(settings.peers_advertised, Equals("10.1.0.13:7720"))
     assert_that(settings.cores, Equals(1.0))
     assert_that(
         settings.limits,
@@ -186,10 +187,19 @@
     )
 
 
+def test_another_address_for_other_entries_may_be_told(tmp_path: Path):
+    path = tmp_path / "local.conf"
+    path.write_text(SETTINGS + "advertise.peers=10.9.0.1:80\n")
+    settings = read_settings(path)
+    assert_that(settings.peers, Equals("10.1.0.13:7720"))
+    assert_that(settings.peers_advertised, Equals("10.9.0.1:80"))
+
+
 @pytest.mark.parametrize(
     ("line", "replacement", "message"),
     [
         ("zone=kariakoo", "zone=", "zone: missing"),
+        ("somethingNew=1", "advertise.peers=there", "advertise.peers: 'there' is not"),
         ("listen.front=10.1.0.13:8161", "listen.front=here", "listen.front: 'here' is not"),
         ("bounds.graceS=5", "bounds.graceS=soon", "bounds.graceS: 'soon' is not a number"),
         ("bounds.graceS=5", "bounds.graceS=-1", "bounds.graceS: '-1' is negative"),
