--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -9,6 +9,7 @@
 from testtools.matchers import Equals, HasLength, LessThan
 
 from tests.dispatch_world import World, make_job
+from zincwell.dispatch import _owner
 from zincwell.dispatch._types import Verdict
 
 pytestmark = pytest.mark.looptime
@@ -345,3 +346,23 @@
     jobs = [submit(world, name, f"job-{name}") for name in world.nodes]
     await finish(jobs, within_s=3)
     assert_that(verdicts(jobs), Equals({Verdict.SUCCEEDED}))
+
+
+async def test_waiting_jobs_don_t_each_look_at_all_workers(
+    world: World, monkeypatch: pytest.MonkeyPatch
+):
+    # Symptom: the owner's core is full and nothing is served any more. Sequence: hundreds of jobs
+    # wait for hundreds of workers that are full. Cause: each event looks at all workers once for
+    # each job that waits.
+    await world.open()
+    jobs = [submit(world, other_than(world), f"job-{n}", count=4, run_ms=5000) for n in range(60)]
+    await asyncio.sleep(0.3)
+    looks: list[int] = []
+    most_free = _owner._most_free
+    monkeypatch.setattr(
+        _owner, "_most_free", lambda sessions: looks.append(1) or most_free(sessions)
+    )
+    world.nodes[world.owners()[0]]._owner._pump()
+    assert_that(len(looks), LessThan(3))
+    for job in jobs:
+        job.cancel()
