Keep the order of waiting jobs, and find runs by their job

A profile of the owner in memory (175 workers, 600 jobs/s for 5 s of 2, 4 and 8 tasks) shows what grows with the number of workers or of waiting jobs: placing 6.9 s in 6,919 passes (all jobs sorted, all workers asked, all of them ranked for each task), beginning a job 1.5 s and ending one 1.6 s (each looked through the runs of all workers); besides, every 20 ms each job that waits looked through all workers for one that is large enough.

Ruled out as the only cause: HTTP costs about 160 us a call with the client library, two calls a task, and stays as it is here.

Change: a queue that keeps its order, workers sorted by free room once in each pass, an index of runs by job, and one look for a worker that is large enough for each job and list of workers. Placing moves from the owner to a scheduler of its own.

Test: the one that counts looks at workers counted calls of a function that is gone. Its replacement counts the looks at a worker by placing, fitting and the search for a large enough one, and allows one a worker; placing and refusing together made more than that before.

--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -6,36 +6,26 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals, HasLength, LessThan
+from testtools.matchers import Equals, GreaterThan, HasLength, LessThan
 
-from tests.dispatch_world import World, make_job
-from zincwell.dispatch import _owner
+from tests.dispatch_world import World
+from tests.pool_jobs import finish, other_than, submit, verdicts
+from zincwell.dispatch import _owner, _placement
 from zincwell.dispatch._types import Verdict
+from zincwell.dispatch._worker import WorkerSession
 
 pytestmark = pytest.mark.looptime
 
 
-def submit(world: World, entry: str, job_id: str, **fields) -> asyncio.Task:
-    """Hand a job in at an entry; the result is its outcome."""
-    run_s = fields.get("run_ms", 200) / 1000
-    world.run_s_by_job[job_id] = run_s
-    return asyncio.ensure_future(world.run_job(entry, make_job(job_id, **fields)))
+def count_calls(monkeypatch: pytest.MonkeyPatch, place, name: str, calls: list[str]) -> None:
+    """Note each call of a function or method."""
+    called = getattr(place, name)
 
+    def note(*arguments, **fields):
+        calls.append(name)
+        return called(*arguments, **fields)
 
-async def finish(jobs: list[asyncio.Task], *, within_s: float = 15) -> None:
-    """Wait until all jobs are answered."""
-    _, open_jobs = await asyncio.wait(jobs, timeout=within_s)
-    assert_that(open_jobs, Equals(set()))
-
-
-def verdicts(tasks: list[asyncio.Task]) -> set[Verdict]:
-    """Return the verdicts of jobs that have ended."""
-    return {task.result().verdict for task in tasks}
-
-
-def other_than(world: World, *names: str) -> str:
-    """Return an entry that is none of these."""
-    return next(name for name in world.nodes if name not in names)
+    monkeypatch.setattr(place, name, note)
 
 
 async def test_one_owner_serves_all_entries(world: World):
@@ -383,12 +373,14 @@
     await world.open()
     jobs = [submit(world, other_than(world), f"job-{n}", count=4, run_ms=5000) for n in range(60)]
     await asyncio.sleep(0.3)
-    looks: list[int] = []
-    most_free = _owner._most_free
-    monkeypatch.setattr(
-        _owner, "_most_free", lambda sessions: looks.append(1) or most_free(sessions)
-    )
-    world.nodes[world.owners()[0]]._owner._pump()
-    assert_that(len(looks), LessThan(3))
+    looks: list[str] = []
+    count_calls(monkeypatch, WorkerSession, "can_start", looks)
+    count_calls(monkeypatch, _placement, "fits_now", looks)
+    count_calls(monkeypatch, _owner, "could_ever_fit", looks)
+    owner = world.nodes[world.owners()[0]]._owner
+    owner._scheduler.place()
+    owner._refuse_hopeless(asyncio.get_running_loop().time())
+    assert_that(len(owner._scheduler.queue), GreaterThan(50))
+    assert_that(len(looks), LessThan(len(world.workers) + 1))
     for job in jobs:
         job.cancel()
--- a/zincwell/dispatch/_jobs.py
+++ b/zincwell/dispatch/_jobs.py
@@ -40,6 +40,8 @@
     :param waiting_for: names of the entries whose callers wait for it.
     :param exposed: an earlier owner may have started tasks of it.
     :param taken_at: when this owner got it, on this entry's clock.
+    :param queued_in: the list of the queue in which it waits, or None.
+    :param fits_workers_of: version of the owner's workers that were found large enough for it.
     """
 
     request: JobRequest
@@ -53,6 +55,10 @@
     started: bool = False
     cancelled: bool = False
     estimate_s: float = 0.0
+    slo_s: float = 0.0
+    smallest_cpu: int = 0
+    queued_in: list[Job] | None = None
+    fits_workers_of: int = -1
 
     def __post_init__(self) -> None:
         """Make the tasks of all steps."""
@@ -62,6 +68,8 @@
             self.left.append(step.count)
         self.waiting = sum(self.left)
         self.estimate_s = self.request.chain_ms() / 1000
+        self.slo_s = self.request.slo_s()
+        self.smallest_cpu = min(step.cpu for step in self.request.steps)
 
     def task(self, task_id: TaskId) -> Task | None:
         """Return a task by its id, or None if the job has no such task."""
@@ -69,6 +77,10 @@
             return None
         return self.tasks[task_id.step][task_id.index]
 
+    def is_overdue(self, now: float) -> bool:
+        """Return whether the job has begun and is past its objective."""
+        return self.started and now - self.arrived_at > self.slo_s
+
     def ready_steps(self) -> list[tuple[int, Step]]:
         """Return the steps with work left whose earlier steps are all done."""
         return [
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -9,10 +9,11 @@
 from zincwell.dispatch._health import WorkerJudge
 from zincwell.dispatch._jobs import AnswerMemory, Job, Task, TaskState
 from zincwell.dispatch._metrics import Metrics
-from zincwell.dispatch._placement import choose_worker, could_ever_fit, queue_key
-from zincwell.dispatch._runs import Run, RunFate
+from zincwell.dispatch._placement import could_ever_fit
+from zincwell.dispatch._runs import Run, RunFate, RunIndex
+from zincwell.dispatch._scheduler import Scheduler
 from zincwell.dispatch._tasks import TaskGroup
-from zincwell.dispatch._types import JobRequest, Limits, Outcome, Step, TaskId, Verdict, WorkerInfo
+from zincwell.dispatch._types import JobRequest, Limits, Outcome, TaskId, Verdict, WorkerInfo
 from zincwell.dispatch._worker import CLOCK_SLOWNESS, WorkerObserver, WorkerSession
 from zincwell.dispatch.ports import EndKind, WorkerClient
 
@@ -77,7 +78,6 @@
         self._metrics = metrics
         self.fence = fence
         self.domain = domain
-        self.suspended = False
         self.sessions_by_id: dict[str, WorkerSession] = {}
         self.jobs_by_id: dict[str, Job] = {}
         self._client = client
@@ -86,7 +86,14 @@
         self._answers = AnswerMemory()
         self._ended_elsewhere: dict[TaskId, EndKind] = {}
         self._loop = asyncio.get_running_loop()
-        self._pump_planned = False
+        self._workers_version = 0
+        self._runs = RunIndex()
+        self._scheduler = Scheduler(
+            sessions_by_id=self.sessions_by_id,
+            may_run_unseen=self._may_run_unseen,
+            next_run_number=self._next_run_number,
+            metrics=metrics,
+        )
         self._judge = WorkerJudge(
             sessions_by_id=self.sessions_by_id, on_room=self.on_room, metrics=metrics
         )
@@ -116,6 +123,7 @@
 
     def set_workers(self, infos: dict[str, WorkerInfo]) -> None:
         """Follow the platform's list of workers."""
+        self._workers_version += 1
         for worker_id, info in infos.items():
             if self.domain is not None and info.zone != self.domain:
                 continue
@@ -141,6 +149,7 @@
                 self.sessions_by_id[info.id].set_listed(False)
 
     def _open_session(self, info: WorkerInfo) -> None:
+        self._workers_version += 1
         log.info("worker_listed worker=%s domain=%s cpu=%d", info.id, info.zone, info.cpu)
         session = WorkerSession(
             info=info,
@@ -165,14 +174,14 @@
             return False
         return all(s.held or s.replaced for s in self.sessions_by_id.values())
 
-    def _may_run_unseen(self, job: Job, all_held: bool, now: float) -> bool:
+    def _may_run_unseen(self, job: Job, now: float) -> bool:
         """Return whether tasks of the job may run where this owner can't see them.
 
         A job that another owner had may run on a worker that does not answer here. Started again
         it would run twice. Either all workers have shown what they run, or every lease that the
         other owner can have asked for has lapsed since the job was handed over.
         """
-        if not job.exposed or all_held:
+        if not job.exposed or self._all_held():
             return False
         lease_s = self._limits.max_lease_s * (1 + CLOCK_SLOWNESS)
         return now - job.taken_at <= lease_s + self._limits.thaw_slack_s + SETTLE_MARGIN_S
@@ -218,7 +227,7 @@
         if job.is_complete():
             self._end(job, Outcome(verdict=Verdict.SUCCEEDED))
             return
-        self.on_room()
+        self._wait_for_room(job)
 
     def cancel(self, job_id: str, *, entry: str) -> bool:
         """Let an entry no longer wait for a job; with nobody left the job is stopped."""
@@ -271,12 +280,13 @@
         A caller that saw no answer sends its job again. Runs of the first sending may still be at
         work or on their way to a stop, and a second run beside them would double the task.
         """
+        for _, run in self._runs.of_job(job.request.id):
+            task = job.task(run.task)
+            if task is not None:
+                job.mark_running(task)
         for session in self.sessions_by_id.values():
-            for run in session.runs.values():
-                if run.task.job == job.request.id:
-                    task = job.task(run.task)
-                    if task is not None:
-                        job.mark_running(task)
+            if not session.strangers:
+                continue
             for task_id, number in list(session.strangers.items()):
                 if task_id.job == job.request.id:
                     run = self.on_stranger(session, task_id, number)
@@ -288,6 +298,12 @@
                 if kind is EndKind.DONE:
                     self._note_done(job, task_id)
 
+    def _wait_for_room(self, job: Job) -> None:
+        """Queue a job if any of its tasks wait."""
+        if job.waiting:
+            self._scheduler.queue.add(job, now=self._loop.time())
+            self.on_room()
+
     def _note_done(self, job: Job, task_id: TaskId) -> None:
         task = job.task(task_id)
         if task is not None:
@@ -296,10 +312,10 @@
     def _end(self, job: Job, outcome: Outcome, *, remember: bool = True) -> None:
         """Answer a job and stop what still runs of it."""
         del self.jobs_by_id[job.request.id]
-        for session in self.sessions_by_id.values():
-            for run in session.runs.values():
-                if run.task.job == job.request.id and not run.stopping:
-                    session.stop(run)
+        self._scheduler.queue.discard(job)
+        for session, run in self._runs.of_job(job.request.id):
+            if not run.stopping:
+                session.stop(run)
         if remember:
             self._answers.put(job.request.id, outcome, now=self._loop.time())
         age_ms = (self._loop.time() - job.arrived_at) * 1000
@@ -311,7 +327,7 @@
             outcome.verdict,
             outcome.reason,
             age_ms,
-            job.request.slo_s() * 1000,
+            job.slo_s * 1000,
         )
         if job.waiting_for:
             self._listener.on_job_ended(job.request.id, job.waiting_for, outcome)
@@ -319,72 +335,8 @@
     # -- placing ----------------------------------------------------------------------------
 
     def on_room(self) -> None:
-        """Place waiting tasks soon, once for all events of this turn of the loop."""
-        if not self._pump_planned:
-            self._pump_planned = True
-            self._loop.call_soon(self._pump)
-
-    def _pump(self) -> None:
-        self._pump_planned = False
-        if self.suspended:
-            return
-        waiting = [job for job in self.jobs_by_id.values() if job.waiting]
-        if not waiting:
-            return
-        now = self._loop.time()
-        by_service: dict[str, list[WorkerSession]] = {}
-        for session in self.sessions_by_id.values():
-            if session.can_start(now):
-                by_service.setdefault(session.info.service, []).append(session)
-        all_held = self._all_held()
-        # Looked up once and again after each start, not for each job: under overload hundreds of
-        # jobs wait for hundreds of full workers, and each end of a task looks at all of them.
-        most_free_by_service = {name: _most_free(found) for name, found in by_service.items()}
-        for job in sorted(waiting, key=lambda job: queue_key(job, now)):
-            service = job.request.service
-            sessions = by_service.get(service, [])
-            if not sessions or self._may_run_unseen(job, all_held, now):
-                continue
-            waited_for = job.waiting
-            self._place_job(job, sessions, most_free_by_service[service], now)
-            if job.waiting != waited_for:
-                most_free_by_service[service] = _most_free(sessions)
-
-    def _place_job(
-        self, job: Job, sessions: list[WorkerSession], most_free: int, now: float
-    ) -> None:
-        for number, step in job.ready_steps():
-            if step.cpu > most_free:
-                continue
-            for task in job.tasks[number]:
-                if task.state is not TaskState.WAITING:
-                    continue
-                session = choose_worker(sessions, step=step, task=task)
-                if session is None:
-                    break
-                self._start(job, step, task, session, now)
-
-    def _start(self, job: Job, step: Step, task: Task, session: WorkerSession, now: float) -> None:
-        run = Run(
-            task=task.id,
-            number=self._next_run_number(task),
-            cpu=step.cpu,
-            memory_mb=step.memory_mb,
-            gpu=step.gpu,
-            ordered_at=now,
-            estimate_s=step.estimate_ms / 1000,
-        )
-        if not job.started:
-            labels = f'route="{job.request.route}"'
-            self._metrics.record("job_queueing", now - job.arrived_at, labels)
-            log.info(
-                "job_started job=%s wait_ms=%d worker=%s",
-                job.request.id,
-                (now - job.arrived_at) * 1000,
-                session.info.id,
-            )
-        job.mark_running(task)
-        session.start(run, spec=job.request.spec)
+        """Place waiting tasks soon: there may be room, or something new to place."""
+        self._scheduler.plan()
 
     def _next_run_number(self, task: Task) -> int:
         task.runs += 1
@@ -403,8 +355,13 @@
         )
         self.on_room()
 
+    def on_run_added(self, session: WorkerSession, run: Run) -> None:
+        """Note that a worker has a run."""
+        self._runs.add(session, run)
+
     def on_run_ended(self, session: WorkerSession, run: Run, fate: RunFate) -> None:
         """Decide what becomes of a task whose run has left a worker."""
+        self._runs.discard(run)
         self.on_room()
         job = self.jobs_by_id.get(run.task.job)
         task = job.task(run.task) if job is not None else None
@@ -436,6 +393,7 @@
                 self._end(job, Outcome(verdict=Verdict.FAILED, reason="task failed"))
                 return
         job.mark_waiting(task)
+        self._wait_for_room(job)
 
     def _tell_done(self, job: Job, task: Task) -> None:
         if job.is_complete():
@@ -479,13 +437,13 @@
         """Start nothing more until it is known who the owner is."""
         self._metrics.count("workers_fenced")
         log.warning("worker_fenced worker=%s fence=%d", session.info.id, self.fence)
-        if not self.suspended:
-            self.suspended = True
+        if not self._scheduler.suspended:
+            self._scheduler.suspended = True
             self._listener.on_superseded()
 
     def resume(self) -> None:
         """Go on: the worker that was fenced obeys a stand-in, all others are still ours."""
-        self.suspended = False
+        self._scheduler.suspended = False
         self.on_room()
 
     # -- what time brings -------------------------------------------------------------------
@@ -494,6 +452,7 @@
         while True:
             await asyncio.sleep(REVIEW_S)
             now = self._loop.time()
+            self._scheduler.queue.promote_overdue(now)
             self._refuse_hopeless(now)
             self._stop_strangers(now)
             self._judge.move_stalled()
@@ -505,7 +464,7 @@
             if job.started:
                 continue
             waited = now - job.arrived_at
-            if waited > LATE_FACTOR * job.request.slo_s() - job.estimate_s:
+            if waited > LATE_FACTOR * job.slo_s - job.estimate_s:
                 self._refuse(job, "no room in time")
             elif not self._may_ever_fit(job):
                 self._refuse(job, "no worker is large enough")
@@ -516,6 +475,14 @@
         self._end(job, outcome, remember=False)
 
     def _may_ever_fit(self, job: Job) -> bool:
+        """Return whether the workers known now are large enough for a job.
+
+        Looked up once for each job and list of workers: hundreds of jobs wait under overload, and
+        looking through hundreds of workers for each of them takes milliseconds.
+        """
+        if job.fits_workers_of == self._workers_version:
+            return True
+        job.fits_workers_of = self._workers_version
         sessions = [
             session
             for session in self.sessions_by_id.values()
@@ -538,7 +505,3 @@
                 )
                 session.strangers_since = now
                 session.stop_strangers()
-
-
-def _most_free(sessions: list[WorkerSession]) -> int:
-    return max(session.free_cpu for session in sessions)
--- a/zincwell/dispatch/_placement.py
+++ b/zincwell/dispatch/_placement.py
@@ -1,45 +1,51 @@
-"""Which task is next and which worker takes it."""
+"""Which worker takes a task."""
 
 from __future__ import annotations
 
+import bisect
 from collections.abc import Iterable
 
-from zincwell.dispatch._jobs import Job, Task
+from zincwell.dispatch._jobs import Task
 from zincwell.dispatch._types import Step
 from zincwell.dispatch._worker import WorkerSession
 
 
-def queue_key(job: Job, now: float) -> tuple[bool, int, float, float]:
-    """Return the place of a job in the queue: urgent first, then short, then old.
+class FreeRoom:
+    """The workers of one service that may start tasks, by how much processor they have free."""
 
-    A job that has begun and is past its objective goes before all others. It can't be refused any
-    more, and behind jobs that are more urgent its last tasks would wait for as long as these come.
-    """
-    overdue = job.started and now - job.arrived_at > job.request.slo_s()
-    return (not overdue, job.request.priority, job.estimate_s, job.arrived_at)
+    def __init__(self, sessions: Iterable[WorkerSession]) -> None:
+        self._sessions = sorted(sessions, key=_free_cpu)
 
+    def most_free_cpu(self) -> int:
+        """Return the processor that is free on the emptiest worker, in thousandths of a core."""
+        return self._sessions[-1].free_cpu
 
-def choose_worker(
-    sessions: Iterable[WorkerSession], *, step: Step, task: Task
-) -> WorkerSession | None:
-    """Return the worker that a task fits best, or None if it fits nowhere now.
+    def find(self, *, step: Step, task: Task) -> WorkerSession | None:
+        """Return the worker that a task fits best, or None if it fits nowhere now.
 
-    The one that keeps the least room wins, so that large tasks find room on others. A worker on
-    which the task has failed comes last, one near the task's data first.
-    """
-    best: WorkerSession | None = None
-    best_rank: tuple[bool, bool, int] | None = None
-    for session in sessions:
-        if not fits_now(session, step=step, task=task):
-            continue
-        rank = (
-            session.info.id in task.avoid,
-            bool(step.rack) and step.rack not in session.info.labels,
-            session.free_cpu - step.cpu,
-        )
-        if best_rank is None or rank < best_rank:
-            best, best_rank = session, rank
-    return best
+        The one that keeps the least room wins, so that large tasks find room on others. A worker
+        on which the task has failed comes last, one near the task's data first.
+        """
+        best: WorkerSession | None = None
+        best_rank = (True, True)
+        first = bisect.bisect_left(self._sessions, step.cpu, key=_free_cpu)
+        for session in self._sessions[first:]:
+            if not fits_now(session, step=step, task=task):
+                continue
+            rank = (
+                session.info.id in task.avoid,
+                bool(step.rack) and step.rack not in session.info.labels,
+            )
+            if not any(rank):
+                return session
+            if best is None or rank < best_rank:
+                best, best_rank = session, rank
+        return best
+
+    def note_start(self, session: WorkerSession) -> None:
+        """Take note that a worker has less room than before."""
+        self._sessions.remove(session)
+        bisect.insort(self._sessions, session, key=_free_cpu)
 
 
 def fits_now(session: WorkerSession, *, step: Step, task: Task) -> bool:
@@ -61,3 +67,7 @@
     if step.cpu > info.cpu or step.memory_mb > info.memory_mb or step.gpu > info.gpu:
         return False
     return not step.label or step.label in info.labels
+
+
+def _free_cpu(session: WorkerSession) -> int:
+    return session.free_cpu
--- a/zincwell/dispatch/_runs.py
+++ b/zincwell/dispatch/_runs.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Iterator
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 from zincwell.dispatch._types import TaskId
 
+if TYPE_CHECKING:
+    from zincwell.dispatch._worker import WorkerSession
+
 
 class RunFate(enum.Enum):
     """How a run left a worker.
@@ -45,3 +50,30 @@
     stop_sent_at: float = 0.0
     percent: float = 0.0
     progress_at: float = 0.0
+
+
+class RunIndex:
+    """Finds the runs of a job.
+
+    Looking through the runs of all workers at the beginning and end of each job took half a
+    millisecond with 175 workers.
+    """
+
+    def __init__(self) -> None:
+        self._session_by_run: dict[str, dict[Run, WorkerSession]] = {}
+
+    def add(self, session: WorkerSession, run: Run) -> None:
+        """Note that a worker has a run."""
+        self._session_by_run.setdefault(run.task.job, {})[run] = session
+
+    def discard(self, run: Run) -> None:
+        """Note that a run has left its worker."""
+        sessions = self._session_by_run.get(run.task.job, {})
+        sessions.pop(run, None)
+        if not sessions:
+            self._session_by_run.pop(run.task.job, None)
+
+    def of_job(self, job: str) -> Iterator[tuple[WorkerSession, Run]]:
+        """Iterate over the runs of a job and the sessions with their workers."""
+        sessions = self._session_by_run.get(job, {})
+        return iter([(session, run) for run, session in sessions.items()])
--- /dev/null
+++ b/zincwell/dispatch/_scheduler.py
@@ -0,0 +1,109 @@
+"""Places the tasks of waiting jobs on workers with room."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Mapping
+
+from zincwell.dispatch._jobs import Job, Task, TaskState
+from zincwell.dispatch._metrics import Metrics
+from zincwell.dispatch._placement import FreeRoom
+from zincwell.dispatch._queue import JobQueue
+from zincwell.dispatch._runs import Run
+from zincwell.dispatch._types import Step
+from zincwell.dispatch._worker import WorkerSession
+
+log = logging.getLogger("zincwell.owner")
+
+
+class Scheduler:
+    """Starts tasks in the order of the queue, wherever there is room.
+
+    :param sessions_by_id: the owner's workers.
+    :param may_run_unseen: returns whether tasks of a job may run where the owner can't see them,
+        so that it must not start yet.
+    :param next_run_number: returns the number of the next run of a task.
+    """
+
+    def __init__(
+        self,
+        *,
+        sessions_by_id: Mapping[str, WorkerSession],
+        may_run_unseen: Callable[[Job, float], bool],
+        next_run_number: Callable[[Task], int],
+        metrics: Metrics,
+    ) -> None:
+        self.queue = JobQueue()
+        self.suspended = False
+        self._sessions_by_id = sessions_by_id
+        self._may_run_unseen = may_run_unseen
+        self._next_run_number = next_run_number
+        self._metrics = metrics
+        self._planned = False
+        self._loop = asyncio.get_running_loop()
+
+    def plan(self) -> None:
+        """Place waiting tasks soon, once for all events of this turn of the loop."""
+        if not self._planned:
+            self._planned = True
+            self._loop.call_soon(self.place)
+
+    def place(self) -> None:
+        """Start what can start now."""
+        self._planned = False
+        if self.suspended or not len(self.queue):
+            return
+        now = self._loop.time()
+        room_by_service = self._find_room(self.queue.smallest_cpu(), now)
+        if not room_by_service:
+            return
+        for job in self.queue:
+            room = room_by_service.get(job.request.service)
+            if room is None or job.smallest_cpu > room.most_free_cpu():
+                continue
+            if self._may_run_unseen(job, now):
+                continue
+            self._place_job(job, room, now)
+            if not job.waiting:
+                self.queue.discard(job)
+
+    def _find_room(self, least_cpu: int, now: float) -> dict[str, FreeRoom]:
+        sessions_by_service: dict[str, list[WorkerSession]] = {}
+        for session in self._sessions_by_id.values():
+            if session.free_cpu >= least_cpu and session.can_start(now):
+                sessions_by_service.setdefault(session.info.service, []).append(session)
+        return {name: FreeRoom(sessions) for name, sessions in sessions_by_service.items()}
+
+    def _place_job(self, job: Job, room: FreeRoom, now: float) -> None:
+        for number, step in job.ready_steps():
+            for task in job.tasks[number]:
+                if task.state is not TaskState.WAITING:
+                    continue
+                session = room.find(step=step, task=task)
+                if session is None:
+                    break
+                self._start(job, step, task, session, now)
+                room.note_start(session)
+
+    def _start(self, job: Job, step: Step, task: Task, session: WorkerSession, now: float) -> None:
+        run = Run(
+            task=task.id,
+            number=self._next_run_number(task),
+            cpu=step.cpu,
+            memory_mb=step.memory_mb,
+            gpu=step.gpu,
+            ordered_at=now,
+            estimate_s=step.estimate_ms / 1000,
+        )
+        if not job.started:
+            labels = f'route="{job.request.route}"'
+            self._metrics.record("job_queueing", now - job.arrived_at, labels)
+            log.info(
+                "job_started job=%s wait_ms=%d worker=%s",
+                job.request.id,
+                (now - job.arrived_at) * 1000,
+                session.info.id,
+            )
+        job.mark_running(task)
+        session.start(run, spec=job.request.spec)
--- a/zincwell/dispatch/_worker.py
+++ b/zincwell/dispatch/_worker.py
@@ -62,6 +62,10 @@
     def on_room(self) -> None:
         """Note that a worker may have room again."""
 
+    @abc.abstractmethod
+    def on_run_added(self, session: WorkerSession, run: Run) -> None:
+        """Note that a run was ordered or adopted."""
+
     @abc.abstractmethod
     def on_run_ended(self, session: WorkerSession, run: Run, fate: RunFate) -> None:
         """Note that a run has left the worker."""
@@ -428,6 +432,7 @@
 
     def _add(self, run: Run) -> None:
         self.runs[run.task] = run
+        self._observer.on_run_added(self, run)
         self.free_cpu -= run.cpu
         self.free_memory -= run.memory_mb
         self.free_gpu -= run.gpu
