Give each transport of the event loop a descriptor of its own

Cause: when a call times out while the loop opens a transport on a connected socket, uvloop closes the descriptor, and the HTTP client closes its socket object, so the same number is closed twice. In between it may belong to another connection. That one breaks, two owners use one number, and libuv aborts once it can't register it. Entries that start at once under load time out most.

Change: zincwell/loops.py duplicates the descriptor for the transport; the caller keeps its own until the transport is open. All processes use it.

--- a/bench/_slopes_worker.py
+++ b/bench/_slopes_worker.py
@@ -6,10 +6,10 @@
 
 import fire
 import msgspec
-import uvloop
 from aiohttp import web
 
 from zincwell.adapters._worker import LeaseCall
+from zincwell.loops import new_event_loop
 from zincwell.ports import WorkerLease
 from zincwell.standins import StandinWorker
 from zincwell.standins._server import reply
@@ -46,7 +46,7 @@
     Args:
         slots: of each of the workers.
     """
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
         runner.run(_serve(slots))
 
 
--- a/bench/baseline.py
+++ b/bench/baseline.py
@@ -11,11 +11,11 @@
 
 import fire
 import msgspec
-import uvloop
 from aiohttp import web
 
 from zincwell.adapters import HttpWorkerTransport
 from zincwell.exceptions import WorkerError
+from zincwell.loops import new_event_loop
 from zincwell.models import Answer, Outcome, TaskAnswer, decode_submission
 from zincwell.ports import EventKind, Start, WorkerEvent
 
@@ -116,7 +116,7 @@
     Args:
         urls: base URLs of workers.
     """
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
         runner.run(_serve(list(urls)))
 
 
--- a/zincwell/daemon.py
+++ b/zincwell/daemon.py
@@ -7,10 +7,9 @@
 import signal
 import sys
 
-import uvloop
-
 from zincwell.entry import Entry
 from zincwell.logs import set_up_logs
+from zincwell.loops import new_event_loop
 from zincwell.settings import Settings
 
 GC_FIRST_GENERATION = 50_000
@@ -24,7 +23,7 @@
     set_up_logs(settings.log_level)
     # The default makes the collector walk all queued tasks over and over under load.
     gc.set_threshold(GC_FIRST_GENERATION)
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
         runner.run(_serve(settings))
 
 
--- a/zincwell/demo.py
+++ b/zincwell/demo.py
@@ -5,12 +5,11 @@
 import asyncio
 import time
 
-import uvloop
-
 from zincwell.client import Client
 from zincwell.entry import Entry
 from zincwell.exceptions import ZincwellError
 from zincwell.logs import set_up_logs
+from zincwell.loops import new_event_loop
 from zincwell.models import Answer, Outcome
 from zincwell.ports import Vm
 from zincwell.settings import PlatformSettings, Settings, TimingSettings
@@ -36,7 +35,7 @@
     :raises ZincwellError: if the job does not complete.
     """
     set_up_logs("warning")
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
         runner.run(_demo())
 
 
--- a/zincwell/platform/_process.py
+++ b/zincwell/platform/_process.py
@@ -13,13 +13,13 @@
 from pathlib import Path
 
 import aiohttp
-import uvloop
 from aiohttp import web
 
 from zincwell.dispatch import Node
 from zincwell.dispatch._types import EntryInfo
 from zincwell.exceptions import SettingsError
 from zincwell.logs import set_up_bounded_logs
+from zincwell.loops import new_event_loop
 from zincwell.platform._callers import CallerListener, MetricsListener, ReadyListener
 from zincwell.platform._peers import HttpPeerClient, PeerListener
 from zincwell.platform._settings import PlatformSettings, read_settings
@@ -52,7 +52,7 @@
     except SettingsError as error:
         log.error('settings_wrong error="%s"', error)
         return 2
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
         runner.run(_serve(settings, path))
     return 0
 
--- a/zincwell/standins/__main__.py
+++ b/zincwell/standins/__main__.py
@@ -5,8 +5,8 @@
 import asyncio
 
 import fire
-import uvloop
 
+from zincwell.loops import new_event_loop
 from zincwell.standins import StandinDirectory, StandinLog, StandinServer, StandinWorker
 
 
@@ -20,7 +20,7 @@
     async def serve() -> None:
         await _serve(standin_type(**options), port)
 
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
         runner.run(serve())
 
 
