Follow a claim that comes while another one is prepared

Cause: an entry that claims reads the store once more and compares the newest claim with what it knew. It looked up what it knew after the read. A claim that the feed had brought meanwhile seemed old, and the entry claimed over it, with the right end of the topic.

Ruled out: the store's condition; the claims stand at offsets 18 and 19, each appended at the end that its claimant had read.

Change: what is known is looked up before the read.

Test: test_a_claim_that_comes_while_claiming_is_followed, red with the quicker feed before.

--- /dev/null
+++ b/tests/test_election.py
@@ -0,0 +1,83 @@
+"""Claims to the pool that meet others on their way."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from zincwell.dispatch._election import OWNER_KEY, Election, ElectionObserver
+from zincwell.dispatch._types import EntryInfo, OwnerClaim
+from zincwell.dispatch.ports import Store, StorePage, StoreRecord, Topic
+
+pytestmark = pytest.mark.looptime
+
+ME = EntryInfo(name="me", address="me", zone="a", incarnation="me-0")
+OTHER = EntryInfo(name="other", address="other", zone="a", incarnation="other-0")
+
+
+class QuietObserver(ElectionObserver):
+    """Knows both entries and notes which owners it was told of."""
+
+    def __init__(self) -> None:
+        self.owners: list[str] = []
+
+    def on_owner(self, owner, fence, domain):
+        self.owners.append(owner.name)
+
+    def on_elected(self, fence, domain):
+        self.owners.append(ME.name)
+
+    def known_entries(self):
+        return [ME, OTHER]
+
+    def probe(self):
+        pass
+
+    def fresh_receipts(self, age_s):
+        return []
+
+
+class StoreWithAClaim(Store):
+    """A store in which the other entry has claimed the pool.
+
+    :param feed: called with the claim while its record is being read.
+    """
+
+    def __init__(self) -> None:
+        self.claim = OwnerClaim(owner=OTHER, members=[ME, OTHER])
+        self.appended: list[int | None] = []
+        self.feed = lambda offset, claim: None
+
+    async def newest(self, topic):
+        self.feed(18, self.claim)
+        value = msgspec.json.encode(self.claim)
+        return StorePage(records=[StoreRecord(key=OWNER_KEY, offset=18, value=value)], end=19)
+
+    async def changes(self, topic, *, start, wait_s):
+        await asyncio.sleep(wait_s)
+        return StorePage(records=[], end=19)
+
+    async def append(self, topic, *, key, value, at=None):
+        if topic is Topic.ENTRIES:
+            self.appended.append(at)
+        return 19
+
+
+@pytest.mark.parametrize("feed_is_quicker", [True, False])
+async def test_a_claim_that_comes_while_claiming_is_followed(feed_is_quicker: bool):
+    # Symptom: after all entries were lost, two of them become owner 10 ms apart, and the jobs
+    # handed to the first one are refused. Sequence: an entry decides to claim and reads the store
+    # once more; the feed brings another entry's claim while it does; it claims all the same.
+    # Cause: what it knew of claims is looked up after the read, so the new one seems old.
+    store, observer = StoreWithAClaim(), QuietObserver()
+    election = Election(me=ME, store=store, observer=observer)
+    if feed_is_quicker:
+        store.feed = election.note_claim
+    await election._claim_pool()
+    election.close()
+    assert_that(store.appended, Equals([]))
+    assert_that(observer.owners, Equals(["other"]))
--- a/zincwell/dispatch/_election.py
+++ b/zincwell/dispatch/_election.py
@@ -348,12 +348,17 @@
             self._become(make_fence(self._claim_offset, place), self._me.zone)
 
     async def _claim_pool(self) -> None:
-        """Try to append a claim, and follow whatever claim is the newest."""
+        """Try to append a claim, and follow whatever claim is the newest.
+
+        Another claim may come by the store's feed while this one is prepared. Claiming over it
+        would move the pool twice, and the jobs that the first owner had just got would wait for
+        1.4 s, since they may run unseen.
+        """
+        known = self._claim_offset
         claim = OwnerClaim(owner=self._me, members=self._observer.known_entries())
         try:
             page = await self._store.newest(Topic.ENTRIES)
             self._store_failed = False
-            known = self._claim_offset
             for record in page.records:
                 if record.key == OWNER_KEY:
                     self.note_claim(record.offset, decode_claim(record.value))
