Look once for each moment whether all runs can be seen, and move the workers out of the owner

Cause: since placing moved to the scheduler, each job that had another owner looked at all workers and all links by itself; right after a take-over hundreds of them wait.

Change: the answer is kept for the moment of the loop's clock. The list of workers, its sessions and what can be asked of all of them stand in zincwell/dispatch/_workers.py now.

--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -10,7 +10,7 @@
 
 from tests.dispatch_world import World
 from tests.pool_jobs import finish, other_than, submit, verdicts
-from zincwell.dispatch import _owner, _placement
+from zincwell.dispatch import _placement, _workers
 from zincwell.dispatch._types import Verdict
 from zincwell.dispatch._worker import WorkerSession
 
@@ -376,7 +376,7 @@
     looks: list[str] = []
     count_calls(monkeypatch, WorkerSession, "can_start", looks)
     count_calls(monkeypatch, _placement, "fits_now", looks)
-    count_calls(monkeypatch, _owner, "could_ever_fit", looks)
+    count_calls(monkeypatch, _workers, "could_ever_fit", looks)
     owner = world.nodes[world.owners()[0]]._owner
     owner._scheduler.place()
     owner._refuse_hopeless(asyncio.get_running_loop().time())
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -5,17 +5,18 @@
 import abc
 import asyncio
 import logging
+from dataclasses import dataclass
 
 from zincwell.dispatch._clocks import CLOCK_SLOWNESS
 from zincwell.dispatch._health import WorkerJudge
 from zincwell.dispatch._jobs import AnswerMemory, Job, Task, TaskState
 from zincwell.dispatch._metrics import Metrics
-from zincwell.dispatch._placement import could_ever_fit
 from zincwell.dispatch._runs import Run, RunFate, RunIndex
 from zincwell.dispatch._scheduler import Scheduler
 from zincwell.dispatch._tasks import TaskGroup
 from zincwell.dispatch._types import JobRequest, Limits, Outcome, TaskId, Verdict, WorkerInfo
 from zincwell.dispatch._worker import WorkerObserver, WorkerSession
+from zincwell.dispatch._workers import WorkerSet
 from zincwell.dispatch.ports import EndKind, WorkerClient
 
 log = logging.getLogger("zincwell.owner")
@@ -39,6 +40,14 @@
 LATE_FACTOR = 1.5
 
 
+@dataclass(slots=True, frozen=True, kw_only=True)
+class Sight:
+    """Whether everything that runs could be seen at a moment of the loop's clock."""
+
+    at: float = -1.0
+    complete: bool = False
+
+
 class OwnerListener(abc.ABC):
     """What an owner tells the entry that runs it."""
 
@@ -79,7 +88,6 @@
         self._metrics = metrics
         self.fence = fence
         self.domain = domain
-        self.sessions_by_id: dict[str, WorkerSession] = {}
         self.jobs_by_id: dict[str, Job] = {}
         self._client = client
         self._listener = listener
@@ -87,16 +95,17 @@
         self._answers = AnswerMemory()
         self._ended_elsewhere: dict[TaskId, EndKind] = {}
         self._loop = asyncio.get_running_loop()
-        self._workers_version = 0
+        self._workers = WorkerSet(domain=domain, make_session=self._make_session)
+        self._sight = Sight()
         self._runs = RunIndex()
         self._scheduler = Scheduler(
-            sessions_by_id=self.sessions_by_id,
+            sessions_by_id=self._workers.sessions_by_id,
             may_run_unseen=self._may_run_unseen,
             next_run_number=self._next_run_number,
             metrics=metrics,
         )
         self._judge = WorkerJudge(
-            sessions_by_id=self.sessions_by_id, on_room=self.on_room, metrics=metrics
+            sessions_by_id=self._workers.sessions_by_id, on_room=self.on_room, metrics=metrics
         )
         self._tasks = TaskGroup()
         self._tasks.spawn(self._review_forever())
@@ -104,9 +113,7 @@
     def close(self) -> None:
         """Give no more orders."""
         self._tasks.close()
-        for session in self.sessions_by_id.values():
-            session.close()
-        self.sessions_by_id.clear()
+        self._workers.close()
 
     def extend(self, fence: int) -> None:
         """Own all workers from now on under a higher fencing token, with all jobs and runs.
@@ -116,43 +123,22 @@
         """
         self.fence = fence
         self.domain = None
-        for session in self.sessions_by_id.values():
-            session.raise_fence(fence)
+        self._workers.extend(fence)
         self.resume()
 
     # -- workers ----------------------------------------------------------------------------
 
     def set_workers(self, infos: dict[str, WorkerInfo]) -> None:
         """Follow the platform's list of workers."""
-        self._workers_version += 1
-        for worker_id, info in infos.items():
-            if self.domain is not None and info.zone != self.domain:
-                continue
-            session = self.sessions_by_id.get(worker_id)
-            if session is None:
-                self._open_session(info)
-            elif session.info != info:
-                log.info("worker_changed worker=%s draining=%s", worker_id, info.draining)
-                session.update(info)
-        for worker_id, session in list(self.sessions_by_id.items()):
-            session.set_listed(worker_id in infos)
-            if session.is_gone():
-                log.info("worker_gone worker=%s", worker_id)
-                session.close()
-                del self.sessions_by_id[worker_id]
+        self._workers.follow(infos)
         self.on_room()
 
     def expect_workers(self, infos: list[WorkerInfo]) -> None:
         """Hold workers that are not listed any more, if they still answer."""
-        for info in infos:
-            if info.id not in self.sessions_by_id and self.domain in (None, info.zone):
-                self._open_session(info)
-                self.sessions_by_id[info.id].set_listed(False)
-
-    def _open_session(self, info: WorkerInfo) -> None:
-        self._workers_version += 1
-        log.info("worker_listed worker=%s domain=%s cpu=%d", info.id, info.zone, info.cpu)
-        session = WorkerSession(
+        self._workers.expect(infos)
+
+    def _make_session(self, info: WorkerInfo) -> WorkerSession:
+        return WorkerSession(
             info=info,
             client=self._client,
             observer=self,
@@ -160,20 +146,18 @@
             limits=self._limits,
             adopt_first=self.domain is not None,
         )
-        self.sessions_by_id[info.id] = session
-        session.open()
 
-    def _all_held(self) -> bool:
-        """Return whether every worker has shown under this fencing token what it runs.
+    def _sees_all_runs(self, now: float) -> bool:
+        """Return whether nothing can run that no worker has shown.
 
         Workers of a failure domain that is cut off lapse in the list, so with a domain that can't
-        be heard there may be more workers than the list shows.
+        be heard there may be more workers than the list shows. Looked up once for each moment:
+        right after a take-over hundreds of jobs ask for it.
         """
-        if self.domain is not None or not self.sessions_by_id:
-            return False
-        if not self._listener.hears_all_domains():
-            return False
-        return all(s.held or s.replaced for s in self.sessions_by_id.values())
+        if self._sight.at != now:
+            complete = self.domain is None and self._listener.hears_all_domains()
+            self._sight = Sight(at=now, complete=complete and self._workers.all_held())
+        return self._sight.complete
 
     def _may_run_unseen(self, job: Job, now: float) -> bool:
         """Return whether tasks of the job may run where this owner can't see them.
@@ -182,7 +166,7 @@
         it would run twice. Either all workers have shown what they run, or every lease that the
         other owner can have asked for has lapsed since the job was handed over.
         """
-        if not job.exposed or self._all_held():
+        if not job.exposed or self._sees_all_runs(now):
             return False
         lease_s = self._limits.max_lease_s * (1 + CLOCK_SLOWNESS)
         return now - job.taken_at <= lease_s + self._limits.thaw_slack_s + SETTLE_MARGIN_S
@@ -265,7 +249,7 @@
 
     def gauges(self) -> dict[str, float]:
         """Return what this owner believes now."""
-        sessions = self.sessions_by_id.values()
+        sessions = self._workers.sessions_by_id.values()
         return {
             "jobs": len(self.jobs_by_id),
             "jobs_not_started": sum(1 for j in self.jobs_by_id.values() if not j.started),
@@ -285,7 +269,7 @@
             task = job.task(run.task)
             if task is not None:
                 job.mark_running(task)
-        for session in self.sessions_by_id.values():
+        for session in self._workers.sessions_by_id.values():
             if not session.strangers:
                 continue
             for task_id, number in list(session.strangers.items()):
@@ -481,23 +465,13 @@
         Looked up once for each job and list of workers: hundreds of jobs wait under overload, and
         looking through hundreds of workers for each of them takes milliseconds.
         """
-        if job.fits_workers_of == self._workers_version:
+        if job.fits_workers_of == self._workers.version:
             return True
-        job.fits_workers_of = self._workers_version
-        sessions = [
-            session
-            for session in self.sessions_by_id.values()
-            if session.info.service == job.request.service
-        ]
-        if not sessions:
-            return True
-        return all(
-            any(could_ever_fit(session, step=step) for session in sessions)
-            for step in job.request.steps
-        )
+        job.fits_workers_of = self._workers.version
+        return self._workers.could_ever_fit(service=job.request.service, steps=job.request.steps)
 
     def _stop_strangers(self, now: float) -> None:
-        for session in self.sessions_by_id.values():
+        for session in self._workers.sessions_by_id.values():
             if session.strangers and now - session.strangers_since > STRANGER_GRACE_S:
                 log.info(
                     "strangers_stopped worker=%s tasks=%d",
--- /dev/null
+++ b/zincwell/dispatch/_workers.py
@@ -0,0 +1,86 @@
+"""The workers that an owner holds, by the platform's list."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable, Iterable
+
+from zincwell.dispatch._placement import could_ever_fit
+from zincwell.dispatch._types import Step, WorkerInfo
+from zincwell.dispatch._worker import WorkerSession
+
+log = logging.getLogger("zincwell.owner")
+
+
+class WorkerSet:
+    """Opens and closes sessions with workers as the platform lists them.
+
+    :param domain: only workers of this failure domain, or all if None.
+    :param make_session: makes a session, not yet open, for a worker.
+    """
+
+    def __init__(
+        self, *, domain: str | None, make_session: Callable[[WorkerInfo], WorkerSession]
+    ) -> None:
+        self.sessions_by_id: dict[str, WorkerSession] = {}
+        self.domain = domain
+        # Rises with each change, so that what was found out about all workers can be kept.
+        self.version = 0
+        self._make_session = make_session
+
+    def close(self) -> None:
+        """Give no more orders."""
+        for session in self.sessions_by_id.values():
+            session.close()
+        self.sessions_by_id.clear()
+
+    def follow(self, infos: dict[str, WorkerInfo]) -> None:
+        """Take over the platform's list."""
+        self.version += 1
+        for worker_id, info in infos.items():
+            if self.domain is not None and info.zone != self.domain:
+                continue
+            session = self.sessions_by_id.get(worker_id)
+            if session is None:
+                self._open(info)
+            elif session.info != info:
+                log.info("worker_changed worker=%s draining=%s", worker_id, info.draining)
+                session.update(info)
+        for worker_id, session in list(self.sessions_by_id.items()):
+            session.set_listed(worker_id in infos)
+            if session.is_gone():
+                log.info("worker_gone worker=%s", worker_id)
+                session.close()
+                del self.sessions_by_id[worker_id]
+
+    def expect(self, infos: Iterable[WorkerInfo]) -> None:
+        """Hold workers that are not listed any more, if they still answer."""
+        for info in infos:
+            if info.id not in self.sessions_by_id and self.domain in (None, info.zone):
+                self._open(info).set_listed(False)
+
+    def extend(self, fence: int) -> None:
+        """Hold workers of all failure domains from now on, under a higher fencing token."""
+        self.domain = None
+        for session in self.sessions_by_id.values():
+            session.raise_fence(fence)
+
+    def all_held(self) -> bool:
+        """Return whether every worker has shown under the fencing token what it runs."""
+        sessions = self.sessions_by_id.values()
+        return bool(sessions) and all(session.held or session.replaced for session in sessions)
+
+    def could_ever_fit(self, *, service: str, steps: Iterable[Step]) -> bool:
+        """Return whether workers of a service are large enough for some steps; True if none."""
+        sessions = [s for s in self.sessions_by_id.values() if s.info.service == service]
+        return not sessions or all(
+            any(could_ever_fit(session, step=step) for session in sessions) for step in steps
+        )
+
+    def _open(self, info: WorkerInfo) -> WorkerSession:
+        self.version += 1
+        log.info("worker_listed worker=%s domain=%s cpu=%d", info.id, info.zone, info.cpu)
+        session = self._make_session(info)
+        self.sessions_by_id[info.id] = session
+        session.open()
+        return session
