Keep the calls to a worker apart from what is made of their answers

Tokens, leases, time limits and the usual time of an answer stand in _orders.py now; the session decides what an answer or its absence means. No change of behaviour; 58 tests of the pool and of faults passed.

--- a/zincwell/dispatch/_worker.py
+++ b/zincwell/dispatch/_worker.py
@@ -6,14 +6,13 @@
 import asyncio
 import logging
 
-from zincwell.dispatch._clocks import CLOCK_SLOWNESS, WorkerClock
+from zincwell.dispatch._orders import CALL_TIMEOUT_S, HOLD_WAIT_S, OrderLine
 from zincwell.dispatch._runs import Run, RunFate
 from zincwell.dispatch._tasks import TaskGroup
 from zincwell.dispatch._types import Limits, TaskId, WorkerInfo
 from zincwell.dispatch.ports import (
     EndKind,
     HoldReply,
-    StartOrder,
     StartStatus,
     WorkerCallError,
     WorkerClient,
@@ -23,23 +22,6 @@
 
 log = logging.getLogger("zincwell.worker")
 
-# Seconds a worker waits for an end before it answers a hold. A take-over takes about 0.55 s from
-# the owner's last heartbeat, so a lease of 1 s must not be older than 0.45 s at that moment.
-HOLD_WAIT_S = 0.25
-# Seconds without an answer, beyond the wait, after which a connection counts as silent. Answers
-# take 2 to 4 ms; a machine that is five times slower still answers well within it.
-CALL_TIMEOUT_S = 0.25
-# A start that has not been carried out by then, on the worker's clock, never will be: the worker
-# refuses it as late. This bounds how long an unanswered start leaves a task in doubt.
-START_VALID_MS = 400
-# A call that should have been answered this many seconds ago is taken for lost, at least: answers
-# take 2 to 5 ms. A start is then looked into, and a hold is asked again.
-MIN_PATIENCE_S = 0.06
-# With slow answers it is this many times what they usually take, so that a slow entry does not
-# add to its own work.
-PATIENCE_FACTOR = 5
-# Weight of the newest answer in the usual time; the one of TCP's round trips.
-ANSWER_WEIGHT = 1 / 8
 # A stop is sent again if the run is still listed after this many seconds.
 STOP_RETRY_S = 0.15
 # Pause between attempts to reach a silent worker.
@@ -124,14 +106,8 @@
         self.free_gpu = info.gpu
         self.last_answer_at = 0.0
         self._adopt_first = adopt_first
-        self._client = client
         self._observer = observer
-        self._fence = fence
-        self._limits = limits
-        self._acknowledged = 0
-        self._clock = WorkerClock()
-        self._answer_s = 0.0
-        self._lapses_at = 0.0
+        self._line = OrderLine(info=info, client=client, fence=fence, limits=limits)
         self._loop = asyncio.get_running_loop()
         self._listed = True
         self._unlisted_at = 0.0
@@ -179,7 +155,7 @@
         A silent worker is tried at once: with a healed partition behind the new token, what runs
         there lapses within a second unless it is held.
         """
-        self._fence = fence
+        self._line.fence = fence
         self._adopt_first = False
         self._retry.set()
         if self.fenced:
@@ -228,17 +204,9 @@
         self._add(run)
 
     async def _start(self, run: Run, spec: str) -> None:
-        run.start_deadline_ms = int(self._clock.now_ms() + START_VALID_MS)
-        order = StartOrder(
-            task=run.task,
-            run=run.number,
-            spec=spec,
-            deadline_ms=run.start_deadline_ms,
-            fence=self._fence,
-        )
-        self._loop.call_later(self._patience_s(), self._look_into, run)
+        self._loop.call_later(self._line.patience_s(), self._look_into, run)
         try:
-            reply = await self._client.start(self.info, order, timeout_s=START_VALID_MS / 1000)
+            reply = await self._line.start(run, spec)
         except WorkerCallError as error:
             self._note_unanswered(run, error)
             return
@@ -250,18 +218,11 @@
             self._note_replaced()
             return
         run.answered = True
-        self._answer_s += ANSWER_WEIGHT * (self._loop.time() - run.ordered_at - self._answer_s)
-        if reply.clock_ms is not None:
-            self._clock.read(reply.clock_ms)
         if reply.status is StartStatus.STARTED:
             run.confirmed_at = run.confirmed_at or self._loop.time()
             return
         self._refused(run, reply.status)
 
-    def _patience_s(self) -> float:
-        """Return after how many seconds without an answer a call is taken for lost."""
-        return max(MIN_PATIENCE_S, PATIENCE_FACTOR * self._answer_s)
-
     def _note_unanswered(self, run: Run, error: WorkerCallError) -> None:
         """Leave a start in doubt: the next holds tell whether it runs.
 
@@ -295,7 +256,7 @@
             await self._hold(0.0)
             if run.confirmed_at is not None or self.runs.get(run.task) is not run:
                 return
-            await self._send_stop(run.task, run.number)
+            await self._line.stop(run.task, run.number)
             run.voided_at = self._loop.time()
             log.info("start_voided worker=%s task=%s run=%d", self.info.id, run.task, run.number)
             await self._hold(0.0)
@@ -324,18 +285,13 @@
 
     async def _stop(self, task: TaskId, number: int) -> None:
         try:
-            await self._send_stop(task, number)
+            await self._line.stop(task, number)
         except WorkerFencedError:
             self._note_fenced()
         except (WorkerCallError, WorkerReplacedError) as error:
             # The hold loop sees whether it still runs, and orders the stop again.
             log.info('stop_unanswered worker=%s task=%s error="%s"', self.info.id, task, error)
 
-    async def _send_stop(self, task: TaskId, number: int) -> None:
-        await self._client.stop(
-            self.info, task=task, run=number, fence=self._fence, timeout_s=CALL_TIMEOUT_S
-        )
-
     # -- the lease --------------------------------------------------------------------------
 
     async def _hold_forever(self) -> None:
@@ -364,7 +320,7 @@
             failures += 1
             if self._loop.time() - self.last_answer_at > UNSEEN_S:
                 self.held = False
-            if self.runs and self._loop.time() > self._lapses_at:
+            if self.runs and self._line.has_lapsed():
                 log.warning("lease_lapsed worker=%s runs=%d", self.info.id, len(self.runs))
                 self._leave_all()
             await self._pause(failures)
@@ -388,20 +344,15 @@
         of the shortest tasks, and with one call in fifteen lost it is what most jobs wait for.
         """
         try:
-            await self._hold(HOLD_WAIT_S, patience_s=self._patience_s())
+            await self._hold(HOLD_WAIT_S, patience_s=self._line.patience_s())
         except WorkerCallError as error:
             log.info('hold_lost worker=%s error="%s"', self.info.id, error)
             await self._hold(0.0)
 
     async def _hold(self, wait_s: float, *, patience_s: float = CALL_TIMEOUT_S) -> None:
         sent_at = self._loop.time()
-        reply = await self._client.hold(
-            self.info,
-            fence=self._fence,
-            acknowledged=self._acknowledged,
-            deadline_ms=self._lease_deadline(sent_at),
-            wait_s=wait_s,
-            timeout_s=wait_s + patience_s,
+        reply = await self._line.hold(
+            extend=self._may_extend(), wait_s=wait_s, patience_s=patience_s
         )
         self.last_answer_at = self._loop.time()
         self._apply(reply, sent_at)
@@ -413,37 +364,32 @@
             self.held = True
             self._observer.on_held(self)
 
-    def _lease_deadline(self, now: float) -> int | None:
-        """Return until when everything there may run, on the worker's clock.
+    def _may_extend(self) -> bool:
+        """Return whether what runs on the worker may run on.
 
-        A silent worker is asked without one: it may hear what it does not answer, and every lease
-        that was asked for puts off the moment when its runs are surely dead.
+        A silent worker is asked without a lease: it may hear what it does not answer, and every
+        lease that was asked for puts off the moment when its runs are surely dead.
 
         Unknown runs of an owner that may live behind a partition are not extended when
         ``adopt_first`` is set: it counts on their lapsing and starts them elsewhere.
         """
-        if not self._clock.is_known() or self.silent:
-            return None
-        if self._adopt_first and (self.strangers or not self.held):
-            return None
-        lease_s = self._limits.max_lease_s
-        slack_s = lease_s * CLOCK_SLOWNESS + self._limits.thaw_slack_s
-        self._lapses_at = max(self._lapses_at, now + lease_s + slack_s)
-        return int(self._clock.now_ms() + lease_s * 1000)
+        if self.silent:
+            return False
+        return not self._adopt_first or (self.held and not self.strangers)
 
     def _apply(self, reply: HoldReply, sent_at: float) -> None:
         now = self._loop.time()
         for row in reply.ended:
-            if row.number <= self._acknowledged:
+            if row.number <= self._line.acknowledged:
                 continue
-            self._acknowledged = row.number
+            self._line.acknowledged = row.number
             self.strangers.pop(row.task, None)
             run = self.runs.get(row.task)
             if run is None or run.number != row.run:
                 self._observer.on_stranger_ended(row.task, row.kind)
                 continue
             self._leave(run, _fate_of(row.kind))
-        if not self._clock.read(reply.clock_ms):
+        if not self._line.clock.read(reply.clock_ms):
             # Overtaken by a later answer on another connection, so what it lists may have ended.
             return
         listed = set()
