Fetch copies of the configuration, and ask other entries less often

Cause: an entry that has just started knows no configuration. Each of the others that sees it sends a copy, here some 200 kB for 948 routes and more, over a link of 25 Mbit/s, with the time limit of a message (0.25 s), and repeats it until it is acknowledged. With 40 entries starting at once the links are full of copies, and the heartbeats wait behind them. Besides, entries that hear no owner asked all others, and again as soon as an answer was there.

Ruled out: the election (one owner, known to the others); the owner's processor (all jobs that reached it were served in time); lost connections (reconnects are in the log, and fail by time-out, too).

Change: an entry that is behind fetches one copy from one entry that has a newer version, over a call of its own, and only if the store has not brought it after 0.5 s. Entries are asked at most every 0.15 s whether they hear the owner.

--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import base64
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
 import msgspec
@@ -183,7 +183,7 @@
         self.alive = False
 
 
-class World(WorkerClient, PeerClient):
+class World(WorkerClient):
     """All of the platform, and the network between it and the entries."""
 
     def __init__(self) -> None:
@@ -207,6 +207,8 @@
         self.late_start_s: dict[str, float] = {}
         self.slow_ways: set[tuple[str, str]] = set()
         self.late_envelopes: list[tuple[str, Envelope]] = []
+        self.deliveries: Counter[str] = Counter()
+        self.copies: Counter[str] = Counter()
 
     # -- set-up -----------------------------------------------------------------------------
 
@@ -259,7 +261,7 @@
             me=me,
             store=FakeStore(world=self, name=name),
             workers=CallsFrom(world=self, name=name, zone=zone),
-            peers=self,
+            peers=PeersOf(world=self, name=name, zone=zone),
             limits=Limits(),
         )
         self.nodes[name] = node
@@ -381,6 +383,29 @@
         raise NotImplementedError
 
 
+class PeersOf(PeerClient):
+    """Calls to other entries from one entry."""
+
+    def __init__(self, *, world: World, name: str, zone: str) -> None:
+        self._world = world
+        self._me = (name, zone)
+
+    async def deliver(self, address, envelope, *, timeout_s):
+        self._world.deliveries[self._me[0]] += 1
+        return await self._world.deliver(address, envelope, timeout_s=timeout_s)
+
+    async def fetch_configuration(self, address, *, timeout_s):
+        self._world.copies[self._me[0]] += 1
+        await asyncio.sleep(LATENCY_S)
+        node = self._world.nodes.get(address)
+        if node is None:
+            raise PeerCallError("nobody listens")
+        if self._world.parted(self._me, (address, node.me.zone)):
+            await asyncio.sleep(timeout_s)
+            raise PeerCallError("no answer")
+        return msgspec.json.decode(node.configurations.encode(), type=Configuration)
+
+
 class CallsFrom(WorkerClient):
     """Calls to workers from one entry."""
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -337,6 +337,34 @@
     assert_that(versions, Equals({2}))
 
 
+async def test_a_configuration_is_copied_once(world: World):
+    # Symptom: after all entries were restarted, a quarter of the jobs find no owner for as long as
+    # the traffic lasts. Sequence: the configuration is large, and entries that start know none yet;
+    # all others send them theirs, again and again, since it takes longer than a message may; the
+    # links are full, and no heartbeat comes through.
+    # Cause: whoever sees an entry with an older configuration sends it a copy.
+    await world.open(entries=3)
+    away = next(name for name in sorted(world.nodes) if name not in world.owners())
+    world.store_down_for.add(away)
+    world.publish(2)
+    await asyncio.sleep(2)
+    assert_that(world.nodes[away].configuration_version(), Equals(2))
+    assert_that(world.copies, Equals({away: 1}))
+
+
+async def test_entries_without_an_owner_do_not_ask_each_other_all_the_time(world: World):
+    # Symptom: entries with weak processors serve nothing for seconds after the owner is lost.
+    # Sequence: no owner is heard; each entry asks all others, and again as soon as they answer.
+    # Cause: nothing bounds how often.
+    await world.open(entries=3)
+    world.store_down_for.update(world.nodes)
+    world.kill_node(world.owners()[0])
+    world.deliveries.clear()
+    await asyncio.sleep(1)
+    pairs = len(world.nodes) * len(world.nodes)
+    assert_that(sum(world.deliveries.values()), LessThan(9 * pairs))
+
+
 async def test_a_configuration_is_never_replaced_by_an_older_one(world: World):
     # Symptom: a dropped route is served again. Sequence: a newer configuration came from another
     # entry; then the store shows the one before. Cause: what came last wins.
--- a/zincwell/dispatch/_directory.py
+++ b/zincwell/dispatch/_directory.py
@@ -17,6 +17,8 @@
 
 # An entry that is silent for this long is not counted any more when entries vote.
 GONE_S = 5.0
+# An answer younger than this is not asked for again; one counts as fresh for twice as long.
+PROBE_AGAIN_S = 0.15
 
 
 class EntryDirectory:
@@ -98,9 +100,15 @@
         return link is not None and not link.is_idle() and link.silence_s() > GONE_S
 
     def probe(self) -> None:
-        """Ask the other entries whether they hear the owner."""
+        """Ask the other entries whether they hear the owner.
+
+        One that has answered just now is not asked again: with 40 entries that ask each other all
+        the time, the processors of the weakest are full for as long as no owner is heard.
+        """
+        now = self._loop.time()
         for link in self.idle_links():
-            link.send(Hello())
+            if now - link.last_receipt_at > PROBE_AGAIN_S:
+                link.send(Hello())
 
     def fresh_receipts(self, age_s: float) -> list[Receipt]:
         """Return the acknowledgements of other entries that are younger than an age."""
--- a/zincwell/dispatch/_messages.py
+++ b/zincwell/dispatch/_messages.py
@@ -4,7 +4,7 @@
 
 from msgspec import Struct
 
-from zincwell.dispatch._types import Configuration, EntryInfo, JobRequest, Outcome
+from zincwell.dispatch._types import EntryInfo, JobRequest, Outcome
 
 
 class Submit(Struct, frozen=True, kw_only=True, tag="submit", omit_defaults=True):
@@ -69,13 +69,7 @@
     """Entry to entry: are you there, and do you hear the owner?"""
 
 
-class ConfigurationCopy(Struct, frozen=True, kw_only=True, tag="configuration"):
-    """A newer configuration than the receiver has, for one that the store does not reach."""
-
-    configuration: Configuration
-
-
-Message = Submit | Cancel | TasksDone | JobEnded | Beat | Hello | ConfigurationCopy
+Message = Submit | Cancel | TasksDone | JobEnded | Beat | Hello
 
 
 class Envelope(Struct, frozen=True, kw_only=True):
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from zincwell.dispatch._callers import CallerDesk, OwnerChannel
+from zincwell.dispatch._configurations import ConfigurationKeeper
 from zincwell.dispatch._directory import EntryDirectory
 from zincwell.dispatch._domains import DomainWatch
 from zincwell.dispatch._election import (
@@ -23,7 +24,6 @@
 from zincwell.dispatch._messages import (
     Beat,
     Cancel,
-    ConfigurationCopy,
     Envelope,
     Hello,
     JobEnded,
@@ -46,10 +46,6 @@
 # The store answers a read for the configuration after this long without a change. A silent
 # connection is noticed after it, and changes must be in force within 2 s.
 CONFIGURATION_WAIT_S = 1.0
-# An entry that still has an older configuration this long after a newer one came here gets a copy.
-# The store takes 10 ms to tell all entries; a copy to each of them at every change would cost more
-# bytes than the change. A change must be in force within 2 s.
-COPY_AFTER_S = 0.5
 # New claims and entries are not urgent: heartbeats tell them sooner.
 ENTRIES_WAIT_S = 4.0
 # Leaving workers must get nothing new 2 s after they said so; the owner reads often enough to
@@ -86,8 +82,6 @@
         clock: Callable[[], float] | None = None,
     ) -> None:
         self.me = me
-        self.configuration: Configuration | None = None
-        self._configured_at = 0.0
         self.leaving = False
         self.refusing = False
         self.pending_by_route: dict[str, int] = {}
@@ -99,6 +93,7 @@
         self._directory = EntryDirectory(me=me, client=peers, observer=self, clock=self._clock)
         self._inbox = Inbox()
         self._metrics = Metrics()
+        self.configurations = ConfigurationKeeper(client=peers, metrics=self._metrics)
         self._owner: Owner | None = None
         self._domains = DomainWatch(me=me)
         self._listing = WorkerListing()
@@ -139,8 +134,14 @@
         if self._owner is not None:
             self._owner.close()
         self._directory.close()
+        self.configurations.close()
         self._tasks.close()
 
+    @property
+    def configuration(self) -> Configuration | None:
+        """The operators' document in force, None before the first."""
+        return self.configurations.current
+
     def is_ready(self) -> bool:
         """Return whether callers should be sent here."""
         if self.leaving or self.configuration is None or not self.election.fence:
@@ -190,20 +191,11 @@
     def _on_configuration(self, keys: set[str]) -> None:
         for record in self._configuration_feed.records_by_key.values():
             if isinstance(record.value, Configuration):
-                self._take_configuration(record.value, "store")
-
-    def _take_configuration(self, configuration: Configuration, source: str) -> None:
-        """Put a configuration in force unless a newer one was seen; never go back."""
-        if configuration.version <= self.configuration_version():
-            return
-        self._metrics.count("configurations_applied", f'source="{source}"')
-        log.info("configuration version=%d from=%s", configuration.version, source)
-        self._configured_at = self._loop.time()
-        self.configuration = configuration
+                self.configurations.take(record.value, source="store")
 
     def configuration_version(self) -> int:
         """Return the newest version of the configuration that this entry knows."""
-        return self.configuration.version if self.configuration else 0
+        return self.configurations.version()
 
     def _on_workers(self, keys: set[str]) -> None:
         self._listing.update(self._worker_infos())
@@ -251,8 +243,7 @@
                     log.info("late_job job=%s entry=%s", message.job.id, envelope.sender.name)
                     continue
                 self._handle(envelope.sender, message)
-        if envelope.version < self.configuration_version():
-            self._send_configuration(envelope.sender)
+        self.configurations.note_version(envelope.sender, envelope.version)
         return Receipt(
             receiver=self.me,
             fence=self.election.fence,
@@ -277,8 +268,6 @@
             if self._owner is None and message.fence >= self.election.fence:
                 self._domains.note_beat(message)
             self.pending_by_route = message.pending
-        elif isinstance(message, ConfigurationCopy):
-            self._take_configuration(message.configuration, sender.name)
 
     def _take_job(self, entry: str, message: Submit) -> None:
         if self._owner is None:
@@ -304,15 +293,7 @@
         self.election.note_receipt(receipt)
         if receipt.late:
             self.desk.hand_again(after_s=0)
-        if receipt.version < self.configuration_version():
-            self._send_configuration(receipt.receiver)
-
-    def _send_configuration(self, entry: EntryInfo) -> None:
-        if self._loop.time() - self._configured_at < COPY_AFTER_S:
-            return
-        link = self._directory.link(entry)
-        if link.is_idle() and self.configuration is not None:
-            link.send(ConfigurationCopy(configuration=self.configuration))
+        self.configurations.note_version(receipt.receiver, receipt.version)
 
     def known_entries(self) -> list[EntryInfo]:
         """Return all entries that are not known to be gone, this one included."""
--- a/zincwell/dispatch/ports.py
+++ b/zincwell/dispatch/ports.py
@@ -199,11 +199,15 @@
 
 
 class PeerClient(abc.ABC):
-    """Calls to other entries."""
+    """Calls to other entries.
+
+    All methods raise ``PeerCallError`` if there is no answer.
+    """
 
     @abc.abstractmethod
     async def deliver(self, address: str, envelope: Envelope, *, timeout_s: float) -> Receipt:
-        """Deliver an envelope.
+        """Deliver an envelope."""
 
-        :raises PeerCallError: if there is no answer.
-        """
+    @abc.abstractmethod
+    async def fetch_configuration(self, address: str, *, timeout_s: float) -> Configuration:
+        """Return the document that another entry has in force."""
