--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -262,7 +262,7 @@
             self.desk.note_done(message.job, message.tasks)
         elif isinstance(message, Cancel):
             if self._owner is not None:
-                self._owner.cancel(message.job, entry=sender.name)
+                self._owner.jobs.cancel(message.job, entry=sender.name)
         elif isinstance(message, Beat):
             self.election.note_beat(message)
             if self._owner is None and message.fence >= self.election.fence:
@@ -403,7 +403,7 @@
             domain=self._owner.domain or "",
             complete_s=self._domains.complete_s(),
             leaving=self.leaving,
-            pending=self._owner.pending_by_route(),
+            pending=self._owner.jobs.pending_by_route(),
         )
         self.pending_by_route = beat.pending
         for link in self._directory.idle_links():
@@ -427,9 +427,9 @@
         if not cut_off and self._owner.domain is None:
             return
         outside = {entry.name for entry in entries if entry.zone in cut_off}
-        self._owner.drop_jobs_of(outside, reason="failure domain cut off")
+        self._owner.jobs.drop_jobs_of(outside, reason="failure domain cut off")
         lost = {name for name, link in links_by_name.items() if link.silence_s() > ENTRY_LOST_S}
-        self._owner.drop_jobs_of(outside | lost, reason="entry lost during a partition")
+        self._owner.jobs.drop_jobs_of(outside | lost, reason="entry lost during a partition")
 
     async def _show_life_forever(self) -> None:
         """Show the store that the owner lives, for entries that can't hear it."""
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -9,7 +9,8 @@
 
 from zincwell.dispatch._clocks import CLOCK_SLOWNESS
 from zincwell.dispatch._health import WorkerJudge
-from zincwell.dispatch._jobs import AnswerMemory, Job, Task, TaskState
+from zincwell.dispatch._job_book import JobBook
+from zincwell.dispatch._jobs import Job, Task, TaskState
 from zincwell.dispatch._metrics import Metrics
 from zincwell.dispatch._runs import Run, RunFate, RunIndex
 from zincwell.dispatch._scheduler import Scheduler
@@ -32,8 +33,6 @@
 SETTLE_MARGIN_S = 0.05
 # How often waiting jobs are looked at for having waited too long, in seconds.
 REVIEW_S = 0.02
-# Coming back is worth a try after this many seconds.
-RETRY_AFTER_S = 1.0
 # A job that has not started is refused once it can end only after this many objectives. Waiting
 # for up to three, as long as late answers count, made the mean worth of four trial days 0.787; with
 # this it was 0.804, and callers hear sooner that they have to come back.
@@ -88,11 +87,12 @@
         self._metrics = metrics
         self.fence = fence
         self.domain = domain
-        self.jobs_by_id: dict[str, Job] = {}
+        self.jobs = JobBook(
+            on_ended=self._on_job_ended, answer=listener.on_job_ended, metrics=metrics
+        )
         self._client = client
         self._listener = listener
         self._limits = limits
-        self._answers = AnswerMemory()
         self._ended_elsewhere: dict[TaskId, EndKind] = {}
         self._loop = asyncio.get_running_loop()
         self._workers = WorkerSet(domain=domain, make_session=self._make_session)
@@ -183,20 +183,9 @@
         done: list[tuple[int, int]],
     ) -> None:
         """Take a job in, or let one more entry wait for it."""
-        answer = self._answers.get(request.id)
-        if answer is not None:
-            log.info("answered_again job=%s entry=%s verdict=%s", request.id, entry, answer.verdict)
-            self._listener.on_job_ended(request.id, {entry}, answer)
-            return
-        job = self.jobs_by_id.get(request.id)
-        if job is not None:
-            log.info("attached job=%s entry=%s", request.id, entry)
-            job.waiting_for.add(entry)
+        job = self.jobs.open(request, entry=entry, age_s=age_s, exposed=exposed)
+        if job is None:
             return
-        now = self._loop.time()
-        job = Job(request=request, arrived_at=now - age_s, exposed=exposed, taken_at=now)
-        job.waiting_for.add(entry)
-        self.jobs_by_id[request.id] = job
         for step, index in done:
             self._note_done(job, TaskId(request.id, step, index))
         self._claim_runs(job)
@@ -210,49 +199,16 @@
             job.waiting,
         )
         if job.is_complete():
-            self._end(job, Outcome(verdict=Verdict.SUCCEEDED))
+            self.jobs.end(job, Outcome(verdict=Verdict.SUCCEEDED))
             return
         self._wait_for_room(job)
 
-    def cancel(self, job_id: str, *, entry: str) -> bool:
-        """Let an entry no longer wait for a job; with nobody left the job is stopped."""
-        job = self.jobs_by_id.get(job_id)
-        if job is None:
-            return False
-        job.waiting_for.discard(entry)
-        if not job.waiting_for:
-            log.info("job_cancelled job=%s started=%s", job_id, job.started)
-            self._end(job, Outcome(verdict=Verdict.CANCELLED), remember=False)
-        return True
-
-    def drop_jobs_of(self, entries: set[str], *, reason: str) -> None:
-        """Stop the jobs that only these entries wait for, which are cut off or lost.
-
-        Their callers turn to the other side of the partition: through the entry, which hands them
-        to a stand-in, or by themselves. If they have not, the entry learns once it is back that
-        the jobs have ended.
-        """
-        for job in list(self.jobs_by_id.values()):
-            if job.waiting_for <= entries:
-                outcome = Outcome(
-                    verdict=Verdict.UNKNOWN, reason=reason, retry_after_s=RETRY_AFTER_S
-                )
-                self._end(job, outcome, remember=False)
-
-    def pending_by_route(self) -> dict[str, int]:
-        """Return by route how many jobs have no task started."""
-        counts: dict[str, int] = {}
-        for job in self.jobs_by_id.values():
-            if not job.started:
-                counts[job.request.route] = counts.get(job.request.route, 0) + 1
-        return counts
-
     def gauges(self) -> dict[str, float]:
         """Return what this owner believes now."""
         sessions = self._workers.sessions_by_id.values()
         return {
-            "jobs": len(self.jobs_by_id),
-            "jobs_not_started": sum(1 for j in self.jobs_by_id.values() if not j.started),
+            "jobs": len(self.jobs.jobs_by_id),
+            "jobs_not_started": sum(1 for j in self.jobs.jobs_by_id.values() if not j.started),
             "workers": len(sessions),
             "workers_held": sum(1 for s in sessions if s.held),
             "workers_silent": sum(1 for s in sessions if s.silent),
@@ -294,28 +250,12 @@
         if task is not None:
             job.mark_done(task)
 
-    def _end(self, job: Job, outcome: Outcome, *, remember: bool = True) -> None:
-        """Answer a job and stop what still runs of it."""
-        del self.jobs_by_id[job.request.id]
+    def _on_job_ended(self, job: Job) -> None:
+        """Stop what still runs of a job."""
         self._scheduler.queue.discard(job)
         for session, run in self._runs.of_job(job.request.id):
             if not run.stopping:
                 session.stop(run)
-        if remember:
-            self._answers.put(job.request.id, outcome, now=self._loop.time())
-        age_ms = (self._loop.time() - job.arrived_at) * 1000
-        labels = f'route="{job.request.route}",verdict="{outcome.verdict}"'
-        self._metrics.count("jobs_ended", labels)
-        log.info(
-            'job_ended job=%s verdict=%s reason="%s" age_ms=%d slo_ms=%d',
-            job.request.id,
-            outcome.verdict,
-            outcome.reason,
-            age_ms,
-            job.slo_s * 1000,
-        )
-        if job.waiting_for:
-            self._listener.on_job_ended(job.request.id, job.waiting_for, outcome)
 
     # -- placing ----------------------------------------------------------------------------
 
@@ -348,7 +288,7 @@
         """Decide what becomes of a task whose run has left a worker."""
         self._runs.discard(run)
         self.on_room()
-        job = self.jobs_by_id.get(run.task.job)
+        job = self.jobs.jobs_by_id.get(run.task.job)
         task = job.task(run.task) if job is not None else None
         self._judge.note_end(session, run, fate)
         labels = f'service="{session.info.service}",fate="{fate.name.lower()}"'
@@ -375,21 +315,21 @@
             task.failures += 1
             task.avoid.add(session.info.id)
             if task.failures >= job.request.attempts:
-                self._end(job, Outcome(verdict=Verdict.FAILED, reason="task failed"))
+                self.jobs.end(job, Outcome(verdict=Verdict.FAILED, reason="task failed"))
                 return
         job.mark_waiting(task)
         self._wait_for_room(job)
 
     def _tell_done(self, job: Job, task: Task) -> None:
         if job.is_complete():
-            self._end(job, Outcome(verdict=Verdict.SUCCEEDED))
+            self.jobs.end(job, Outcome(verdict=Verdict.SUCCEEDED))
             return
         place = (task.id.step, task.id.index)
         self._listener.on_tasks_done(job.request.id, job.waiting_for, [place])
 
     def on_stranger(self, session: WorkerSession, task: TaskId, number: int) -> Run | None:
         """Return the run to adopt for a task that an earlier owner started, or None."""
-        job = self.jobs_by_id.get(task.job)
+        job = self.jobs.jobs_by_id.get(task.job)
         known = job.task(task) if job is not None else None
         if known is None or known.state is not TaskState.WAITING:
             return None
@@ -409,7 +349,7 @@
 
     def on_stranger_ended(self, task: TaskId, kind: EndKind) -> None:
         """Note the end of a run that this owner did not order."""
-        job = self.jobs_by_id.get(task.job)
+        job = self.jobs.jobs_by_id.get(task.job)
         if job is None:
             self._ended_elsewhere[task] = kind
             return
@@ -441,23 +381,18 @@
             self._refuse_hopeless(now)
             self._stop_strangers(now)
             self._judge.move_stalled()
-            if any(job.exposed and job.waiting for job in self.jobs_by_id.values()):
+            if any(job.exposed and job.waiting for job in self.jobs.jobs_by_id.values()):
                 self.on_room()
 
     def _refuse_hopeless(self, now: float) -> None:
-        for job in list(self.jobs_by_id.values()):
+        for job in list(self.jobs.jobs_by_id.values()):
             if job.started:
                 continue
             waited = now - job.arrived_at
             if waited > LATE_FACTOR * job.slo_s - job.estimate_s:
-                self._refuse(job, "no room in time")
+                self.jobs.refuse(job, "no room in time")
             elif not self._may_ever_fit(job):
-                self._refuse(job, "no worker is large enough")
-
-    def _refuse(self, job: Job, reason: str) -> None:
-        verdict = Verdict.UNKNOWN if job.exposed else Verdict.REFUSED
-        outcome = Outcome(verdict=verdict, reason=reason, retry_after_s=RETRY_AFTER_S)
-        self._end(job, outcome, remember=False)
+                self.jobs.refuse(job, "no worker is large enough")
 
     def _may_ever_fit(self, job: Job) -> bool:
         """Return whether the workers known now are large enough for a job.
