Let an owner on a slow VM hand the pool over

Cause: only silence makes others take over. The slow owner's heartbeats come, while answers of workers and jobs of the other entries wait in its sockets.

Ruled out: workers (none slow, all held); the other entries (only the owner's VM is slow).

Change: an owner whose timers are late by 30 ms at most of its last seven heartbeats says so, as one that shuts down does, and its first successor claims. Not in the first 4 s of a term; and it takes the pool over again 15 s later at the earliest.

Tests: tests/test_slowness.py; the last one has no other owner without the change.

--- a/zincwell/dispatch/_messages.py
+++ b/zincwell/dispatch/_messages.py
@@ -50,7 +50,7 @@
 
     :param fence: fencing token that the owner gives its orders under.
     :param successors: names of entries in the order in which they take over.
-    :param leaving: the owner shuts down; the first successor takes over now.
+    :param leaving: the owner shuts down or is too slow; the first successor takes over now.
     :param domain: failure domain that a stand-in serves, empty for the owner of all.
     :param pending: by route, jobs of which no task has started.
     :param complete_s: for how long the owner has heard an entry of each failure domain.
@@ -95,7 +95,7 @@
     :param receiver: the entry that answers; a new life of it knows nothing of earlier messages.
     :param fence: highest fencing token of an owner that the receiver has heard of.
     :param owner_silence_s: for how long the receiver has not heard the owner.
-    :param leaving: the receiver shuts down and takes nothing over.
+    :param leaving: the receiver takes nothing over: it shuts down, or was too slow as owner.
     :param version: newest version of the configuration that the receiver knows.
     :param late: the envelope came so late that jobs in it were not taken.
     """
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -35,6 +35,7 @@
 from zincwell.dispatch._metrics import Metrics
 from zincwell.dispatch._owner import Owner, OwnerListener
 from zincwell.dispatch._peers import Inbox, LinkObserver, PeerLink
+from zincwell.dispatch._slowness import SlownessWatch
 from zincwell.dispatch._tasks import TaskGroup
 from zincwell.dispatch._types import Configuration, EntryInfo, Limits, Outcome, WorkerInfo
 from zincwell.dispatch.ports import PeerClient, Store, StoreUnavailableError, Topic, WorkerClient
@@ -97,6 +98,7 @@
         self._owner: Owner | None = None
         self._domains = DomainWatch(me=me)
         self._listing = WorkerListing()
+        self._slowness = SlownessWatch()
         self._tasks = TaskGroup()
 
     def open(self) -> None:
@@ -248,7 +250,7 @@
             receiver=self.me,
             fence=self.election.fence,
             owner_silence_s=self.election.silence_s(),
-            leaving=self.leaving,
+            leaving=self.leaving or self._slowness.rests(self._loop.time()),
             version=self.configuration_version(),
             late=late,
         )
@@ -311,6 +313,7 @@
 
     def on_owner(self, owner: EntryInfo, fence: int, domain: str) -> None:
         """Follow another entry as owner."""
+        self._slowness.end_term(self._loop.time())
         self._close_owner()
         self._directory.note(owner)
         self._directory.withdraw_jobs(owner=owner.name)
@@ -320,6 +323,7 @@
     def on_elected(self, fence: int, domain: str) -> None:
         """Be the owner, or the stand-in for a failure domain."""
         self._metrics.count("elections", f'domain="{domain}"')
+        self._slowness.begin_term(self._loop.time())
         self._domains.note_elected(extended=self._owner is not None)
         if self._owner is not None and not domain:
             self._owner.extend(fence)
@@ -390,11 +394,21 @@
 
     async def _beat_forever(self) -> None:
         while True:
+            due_at = self._loop.time() + BEAT_S
             await asyncio.sleep(BEAT_S)
             if self._owner is not None:
+                self._watch_slowness(due_at)
                 self._send_beats()
                 self._drop_jobs_out_of_reach()
 
+    def _watch_slowness(self, due_at: float) -> None:
+        now = self._loop.time()
+        handed_over = self._slowness.hands_over
+        self._slowness.note_beat(now - due_at, now)
+        if self._slowness.hands_over and not handed_over:
+            self._metrics.count("slow_terms")
+            log.warning("too_slow_to_own late_ms=%d", (now - due_at) * 1000)
+
     def _send_beats(self) -> None:
         beat = Beat(
             fence=self._owner.fence,
@@ -402,7 +416,7 @@
             successors=self._directory.successors(),
             domain=self._owner.domain or "",
             complete_s=self._domains.complete_s(),
-            leaving=self.leaving,
+            leaving=self.leaving or self._slowness.hands_over,
             pending=self._owner.jobs.pending_by_route(),
         )
         self.pending_by_route = beat.pending
