--- a/zincwell/__init__.py
+++ b/zincwell/__init__.py
@@ -6,9 +6,15 @@
 <Outcome.COMPLETED: 'completed'>
 """
 
-from zincwell.client import BlockingClient, Client, JobKey
-from zincwell.exceptions import BadRequestError, ClientError, ZincwellError
-from zincwell.models import Answer, Outcome, TaskAnswer
+from __future__ import annotations
+
+import importlib
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from zincwell.client import BlockingClient, Client, JobKey
+    from zincwell.exceptions import BadRequestError, ClientError, ZincwellError
+    from zincwell.models import Answer, Outcome, TaskAnswer
 
 __version__ = "0.1.0"
 __all__ = [
@@ -22,3 +28,31 @@
     "TaskAnswer",
     "ZincwellError",
 ]
+
+_MODULE_BY_NAME = {
+    "Answer": "models",
+    "BadRequestError": "exceptions",
+    "BlockingClient": "client",
+    "Client": "client",
+    "ClientError": "exceptions",
+    "JobKey": "client",
+    "Outcome": "models",
+    "TaskAnswer": "models",
+    "ZincwellError": "exceptions",
+}
+
+
+def __getattr__(name: str) -> object:
+    """Return a public name, importing its module at first use.
+
+    An entry imports this package at its start and needs no client. While all entries start again,
+    each tenth of a second counts.
+    """
+    module = _MODULE_BY_NAME.get(name)
+    if module is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(importlib.import_module(f"{__name__}.{module}"), name)
+
+
+def __dir__() -> list[str]:
+    return sorted([*globals(), *__all__])
