Take no worker from entries of others that are incomplete, wrong or not named

Missing fields were filled in, strings taken for numbers, unknown states for ready; a key or claim that can't be read ended the task that follows its topic, and a worker of an unknown service was waited for at a take-over. Change: the adapter reads strictly, logs a key once, and the others hold; workers of services that the configuration does not name are left alone.

--- a/zincwell/dispatch/_election.py
+++ b/zincwell/dispatch/_election.py
@@ -150,9 +150,9 @@
 
     # -- what is heard ----------------------------------------------------------------------
 
-    def note_claim(self, offset: int, claim: OwnerClaim) -> None:
-        """Take note of the newest claim in the store."""
-        if offset <= self._claim_offset:
+    def note_claim(self, offset: int, claim: OwnerClaim | None) -> None:
+        """Take note of the newest claim in the store; None if it can't be read."""
+        if claim is None or offset <= self._claim_offset:
             return
         self._claim, self._claim_offset = claim, offset
         fence = make_fence(offset)
@@ -423,6 +423,10 @@
         self.note_claim(offset, claim)
 
 
-def decode_claim(value: bytes) -> OwnerClaim:
-    """Return a claim as it stands in the store."""
-    return msgspec.json.decode(value, type=OwnerClaim)
+def decode_claim(value: bytes) -> OwnerClaim | None:
+    """Return a claim as it stands in the store; None, with a log line, if it can't be read."""
+    try:
+        return msgspec.json.decode(value, type=OwnerClaim)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        log.error('claim_unreadable error="%s"', error)
+        return None
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -194,6 +194,7 @@
         for record in self._configuration_feed.records_by_key.values():
             if isinstance(record.value, Configuration):
                 self.configurations.take(record.value, source="store")
+        self._on_workers(set())
 
     def configuration_version(self) -> int:
         """Return the newest version of the configuration that this entry knows."""
@@ -205,10 +206,13 @@
             self._owner.set_workers(self._listing.listed_by_id)
 
     def _worker_infos(self) -> dict[str, WorkerInfo]:
+        """Return the listed workers of the services that the configuration names."""
+        configuration = self.configuration
         return {
             record.value.id: record.value
             for record in self._workers_feed.records_by_key.values()
             if isinstance(record.value, WorkerInfo)
+            and (configuration is None or configuration.names_service(record.value.service))
         }
 
     def _on_entries(self, keys: set[str]) -> None:
@@ -219,9 +223,15 @@
             if key == OWNER_KEY:
                 self.election.note_claim(record.offset, decode_claim(record.value))
             else:
-                self._directory.note(msgspec.json.decode(record.value, type=EntryInfo))
+                self._note_entry(key, record.value)
         self._check_owner_life()
 
+    def _note_entry(self, key: str, value: bytes) -> None:
+        try:
+            self._directory.note(msgspec.json.decode(value, type=EntryInfo))
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            log.error('entry_unreadable key=%s error="%s"', key, error)
+
     def _check_owner_life(self) -> None:
         """Tell the election of the life that the owner's VM is in now."""
         owner = self.election.owner
--- a/zincwell/dispatch/_types.py
+++ b/zincwell/dispatch/_types.py
@@ -143,6 +143,10 @@
     guarded: dict[str, bool] = {}
     max_body_bytes: int = 1 << 20
 
+    def names_service(self, service: str) -> bool:
+        """Return whether there is such a service."""
+        return service in self.guarded or any(route.service == service for route in self.routes)
+
     def find_route(self, *, host: str, path: str) -> Route | None:
         """Return the route of a host with the longest prefix of the path, or None."""
         matching = [r for r in self.routes if r.host == host and path.startswith(r.prefix)]
--- a/zincwell/platform/_store.py
+++ b/zincwell/platform/_store.py
@@ -38,6 +38,9 @@
 # A read returns at most this much; the rest comes with the next one.
 READ_KB = 1024
 
+# An answer to a read begins with the end of the log and its first offset, 8 bytes each.
+OFFSETS_BYTES = 16
+
 
 class NewestItem(Struct):
     """One record of a listing; ``value`` is in base64."""
@@ -67,6 +70,7 @@
     def __init__(self, *, address: str, session: aiohttp.ClientSession) -> None:
         self._url = f"http://{address}"
         self._session = session
+        self._decoder = RecordDecoder()
 
     async def newest(self, topic: Topic) -> StorePage:
         """Return the newest record of each key."""
@@ -82,8 +86,8 @@
             # Pages are no snapshot: what came since the first one is read again from its end.
             end = page.end if end is None else end
             for item in page.items:
-                value = base64.b64decode(item.value)
-                records.append(_make_record(topic, item.key, item.offset, value))
+                value = _decode_base64(item.value)
+                records.append(self._decoder.decode(topic, item.key, item.offset, value))
                 after = item.key
             if not page.more_pages or not page.items:
                 return StorePage(records=records, end=end)
@@ -98,7 +102,7 @@
             "waitMs": str(int(wait_s * 1000)),
         }
         body = await self._call("GET", "/v1/log-read", query, wait_s=wait_s)
-        return _parse_records(topic, start, body)
+        return self._decoder.parse(topic, start, body)
 
     async def append(self, topic: Topic, *, key: str, value: bytes, at: int | None = None) -> int:
         """Append a record and return its offset."""
@@ -144,25 +148,54 @@
         raise StoreUnavailableError(f"malformed answer: {error}") from error
 
 
-def _parse_records(topic: Topic, start: int, body: bytes) -> StorePage:
-    """Return the records of a read: 16 bytes of offsets, then length, key and value of each."""
-    end, _first = struct.unpack_from(">QQ", body)
-    records: list[StoreRecord] = []
-    position = 16
-    offset = start
-    while position + 4 <= len(body):
-        (length,) = struct.unpack_from(">I", body, position)
-        record = body[position + 4 : position + 4 + length]
-        position += 4 + length
-        key_length = record[0]
-        key = record[1 : 1 + key_length].decode()
-        records.append(_make_record(topic, key, offset, record[1 + key_length :]))
-        offset += 1
-    return StorePage(records=records, end=offset if records else max(start, end))
+def _decode_base64(text: str) -> bytes:
+    try:
+        return base64.b64decode(text, validate=True)
+    except ValueError as error:
+        raise StoreUnavailableError(f"malformed answer: {error}") from error
+
+
+class RecordDecoder:
+    """Turns records of the store into what they say.
 
+    A record that can't be read, or says nothing that is known, has no value; the others hold. It
+    is logged when its key is first met, not at each of its changes: workers write every second.
+    """
 
-def _make_record(topic: Topic, key: str, offset: int, value: bytes) -> StoreRecord:
-    return StoreRecord(key=key, offset=offset, value=_decode_value(topic, key, value))
+    def __init__(self) -> None:
+        self._unreadable: set[tuple[Topic, str]] = set()
+
+    def parse(self, topic: Topic, start: int, body: bytes) -> StorePage:
+        """Return the records of a read: 16 bytes of offsets, then length, key and value of each.
+
+        :raises StoreUnavailableError: if the answer is no such body.
+        """
+        if len(body) < OFFSETS_BYTES:
+            raise StoreUnavailableError("malformed answer: no offsets")
+        end, _first = struct.unpack_from(">QQ", body)
+        records: list[StoreRecord] = []
+        position = OFFSETS_BYTES
+        while position + 4 <= len(body):
+            (length,) = struct.unpack_from(">I", body, position)
+            content = body[position + 4 : position + 4 + length]
+            position += 4 + length
+            key_length = content[0] if content else 0
+            key = content[1 : 1 + key_length].decode(errors="replace")
+            offset = start + len(records)
+            records.append(self.decode(topic, key, offset, content[1 + key_length :]))
+        last = start + len(records)
+        return StorePage(records=records, end=last if records else max(start, end))
+
+    def decode(self, topic: Topic, key: str, offset: int, value: bytes) -> StoreRecord:
+        """Return one record; without a value if it can't be read."""
+        try:
+            decoded = _decode_value(topic, key, value)
+        except DocumentError as error:
+            decoded = None
+            if (topic, key) not in self._unreadable:
+                self._unreadable.add((topic, key))
+                log.error('record_unreadable topic=%s key=%s error="%s"', topic.name, key, error)
+        return StoreRecord(key=key, offset=offset, value=decoded)
 
 
 def _decode_value(
@@ -170,12 +203,8 @@
 ) -> Configuration | WorkerInfo | bytes | None:
     if not value:
         return None
-    try:
-        if topic is Topic.WORKERS:
-            return decode_worker(key, value)
-        if topic is Topic.CONFIGURATION:
-            return decode_configuration(value) if key == CONFIGURATION_KEY else None
-    except DocumentError as error:
-        log.error('record_unreadable topic=%s key=%s error="%s"', topic.name, key, error)
-        return None
+    if topic is Topic.WORKERS:
+        return decode_worker(key, value)
+    if topic is Topic.CONFIGURATION:
+        return decode_configuration(value) if key == CONFIGURATION_KEY else None
     return value
--- a/zincwell/platform/_wire.py
+++ b/zincwell/platform/_wire.py
@@ -17,6 +17,10 @@
 MAX_STEPS = 1_000
 MAX_SPEC_BYTES = 4_000
 DRAINING = "draining"
+WORKER_STATES = ("ready", DRAINING)
+WORKER_ADDRESS = re.compile(r"[0-9A-Za-z.-]+:[0-9]{1,5}")
+# Capacities beyond this are no numbers of a machine.
+MAX_SIZE = 1e12
 # Runs that waited in vain for the other members of their gang, as the worker calls it.
 ENDED_ALONE = "alone"
 
@@ -92,11 +96,11 @@
 
 
 class CapacityBody(Struct, rename="camel"):
-    """A worker's room."""
+    """A worker's room; what is empty is left out."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: float = 0
+    mem_mb: float = 0
+    gpu: float = 0
 
 
 class WorkerBody(Struct, rename="camel"):
@@ -104,9 +108,9 @@
 
     service: str
     addr: str
-    zone: str = ""
-    state: str = ""
-    capacity: CapacityBody = msgspec.field(default_factory=CapacityBody)
+    zone: str
+    state: str
+    capacity: CapacityBody
     labels: list[str] = []
 
 
@@ -222,20 +226,30 @@
 def decode_worker(worker_id: str, body: bytes) -> WorkerInfo:
     """Return a worker's entry in the list.
 
+    Others may write there, too. An entry that does not say all that is needed, in the right types,
+    or calls a state that is not known, names no worker to use: orders would go to who knows whom.
+
     :raises DocumentError: naming the field that is wrong.
     """
     try:
-        worker = msgspec.json.decode(body, type=WorkerBody, strict=False)
-    except msgspec.MsgspecError as error:
+        worker = msgspec.json.decode(body, type=WorkerBody)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise DocumentError(str(error)) from error
+    if worker.state not in WORKER_STATES:
+        raise DocumentError(f"state: unknown: {worker.state!r}")
+    if not WORKER_ADDRESS.fullmatch(worker.addr):
+        raise DocumentError(f"addr: not HOST:PORT: {worker.addr!r}")
+    sizes = (worker.capacity.cpu, worker.capacity.mem_mb, worker.capacity.gpu)
+    if not all(0 <= size <= MAX_SIZE for size in sizes):
+        raise DocumentError("capacity: out of range")
     return WorkerInfo(
         id=worker_id,
         service=worker.service,
         address=worker.addr,
         zone=worker.zone,
-        cpu=worker.capacity.cpu,
-        memory_mb=worker.capacity.mem_mb,
-        gpu=worker.capacity.gpu,
+        cpu=int(worker.capacity.cpu),
+        memory_mb=int(worker.capacity.mem_mb),
+        gpu=int(worker.capacity.gpu),
         labels=worker.labels,
         draining=worker.state == DRAINING,
     )
