Let a large job that has begun hold up nothing urgent

Cause: what has begun goes first, so a begun job of a thousand tasks would hold up all that is more urgent for as long as it runs. Change: it goes first only with at most 64 tasks left, or past its objective, as before. Test: test_a_large_job_that_has_begun_holds_up_nothing_urgent.

--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -11,7 +11,7 @@
 
 from zincwell.dispatch._jobs import Job, Task
 from zincwell.dispatch._placement import FreeRoom, fits_now
-from zincwell.dispatch._queue import JobQueue
+from zincwell.dispatch._queue import FIRST_TASKS, JobQueue
 from zincwell.dispatch._types import JobRequest, Step, TaskId
 
 
@@ -37,10 +37,10 @@
 
 def test_urgent_jobs_go_first_then_short_then_old_ones():
     queue = JobQueue()
-    queue.add(make_waiting("old-long", estimate_ms=900))
-    queue.add(make_waiting("new-short", at=0.2))
-    queue.add(make_waiting("old-short", at=0.1))
-    queue.add(make_waiting("less-urgent", priority=1, estimate_ms=1))
+    queue.add(make_waiting("old-long", estimate_ms=900), now=0)
+    queue.add(make_waiting("new-short", at=0.2), now=0)
+    queue.add(make_waiting("old-short", at=0.1), now=0)
+    queue.add(make_waiting("less-urgent", priority=1, estimate_ms=1), now=0)
     assert_that(ids(queue), Equals(["old-short", "new-short", "old-long", "less-urgent"]))
 
 
@@ -50,19 +50,34 @@
     # begun can't be refused, and the order knows only how urgent it is.
     queue = JobQueue()
     begun = make_waiting("begun", priority=2)
-    queue.add(begun)
-    queue.add(make_waiting("urgent"))
+    queue.add(begun, now=0)
+    queue.add(make_waiting("urgent"), now=0)
     assert_that(ids(queue), Equals(["urgent", "begun"]))
     begun.started = True
-    queue.add(begun)
+    queue.add(begun, now=0)
     assert_that(ids(queue), Equals(["begun", "urgent"]))
 
 
+def test_a_large_job_that_has_begun_holds_up_nothing_urgent():
+    # Symptom: an urgent job of 60 ms waits for 20 s. Sequence: a job of a thousand tasks that is
+    # less urgent has got room for one of them. Cause: what has begun goes first, however much of
+    # it still waits.
+    queue = JobQueue()
+    large = make_waiting("large", priority=2)
+    large.started = True
+    large.waiting = FIRST_TASKS + 1
+    queue.add(large, now=0)
+    queue.add(make_waiting("urgent"), now=0)
+    assert_that(ids(queue), Equals(["urgent", "large"]))
+    queue.add(large, now=9)
+    assert_that(ids(queue), Equals(["large", "urgent"]))
+
+
 def test_a_job_waits_once_and_leaves_whole():
     queue = JobQueue()
     job = make_waiting("a")
-    queue.add(job)
-    queue.add(job)
+    queue.add(job, now=0)
+    queue.add(job, now=0)
     queue.discard(job)
     queue.discard(job)
     assert_that(ids(queue), Equals([]))
@@ -86,7 +101,7 @@
             )
             job.started = choose.random() < 0.3
             waiting[job.request.id] = job
-            queue.add(job)
+            queue.add(job, now=0)
         expected = sorted(
             waiting.values(),
             key=lambda job: (
--- a/zincwell/dispatch/_overload.py
+++ b/zincwell/dispatch/_overload.py
@@ -112,7 +112,9 @@
         behind: list[Job] = []
         for job in jobs:
             projection = replay.place(self._demand_of(job, now))
-            if not job.started and not self._is_in_time(job, projection, pool, now):
+            if job.started:
+                self._queue.add(job, now=now)
+            elif not self._is_in_time(job, projection, pool, now):
                 replay.undo()
                 behind.append(job)
         return self._judge_behind(behind, replay, pool, now)
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -274,7 +274,7 @@
     def _wait_for_room(self, job: Job) -> None:
         """Queue a job if any of its tasks wait."""
         if job.waiting:
-            self._scheduler.queue.add(job)
+            self._scheduler.queue.add(job, now=self._loop.time())
             self.on_room()
 
     def _note_done(self, job: Job, task_id: TaskId) -> None:
--- a/zincwell/dispatch/_queue.py
+++ b/zincwell/dispatch/_queue.py
@@ -8,6 +8,10 @@
 
 from zincwell.dispatch._jobs import Job
 
+# A job that has begun goes first if at most this many of its tasks still wait. One of a thousand
+# tasks would hold up everything that is more urgent for as long as they run.
+FIRST_TASKS = 64
+
 
 class JobQueue:
     """Keeps waiting jobs in order: begun first, then urgent, then short, then old.
@@ -16,7 +20,7 @@
 
     A job that has begun can't be refused any more, and room that its first tasks took is lost if
     the last ones come late. Behind jobs that are more urgent these would wait for as long as such
-    jobs come.
+    jobs come. A large job keeps its place until it is past its objective.
 
     The order is kept, not made anew: under overload hundreds of jobs wait, and each end of a task
     asks for it. Sorting at each of them filled the owner's core.
@@ -34,9 +38,9 @@
     def __len__(self) -> int:
         return len(self._begun) + len(self._fresh) + len(self._late)
 
-    def add(self, job: Job) -> None:
+    def add(self, job: Job, *, now: float) -> None:
         """Let a job wait; one that waits already moves to its place."""
-        self._put(job, self._begun if job.started else self._fresh)
+        self._put(job, self._begun if _goes_first(job, now) else self._fresh)
 
     def put_behind(self, job: Job) -> None:
         """Let a job wait behind all others, since it will be late."""
@@ -61,5 +65,9 @@
         return min(job.smallest_cpu for job in self)
 
 
+def _goes_first(job: Job, now: float) -> bool:
+    return job.started and (job.waiting <= FIRST_TASKS or now - job.arrived_at > job.slo_s)
+
+
 def _place(job: Job) -> tuple[int, float, float, str]:
     return (job.request.priority, job.estimate_s, job.arrived_at, job.request.id)
--- a/zincwell/dispatch/_scheduler.py
+++ b/zincwell/dispatch/_scheduler.py
@@ -77,7 +77,7 @@
             if not job.waiting:
                 self.queue.discard(job)
             elif job.started:
-                self.queue.add(job)
+                self.queue.add(job, now=now)
 
     def _find_room(self, least_cpu: int, now: float) -> dict[str, FreeRoom]:
         sessions_by_service: dict[str, list[WorkerSession]] = {}
