Give the test of an interrupt the same verdict however the tests were started

Traced: such a shell has its children ignore SIGINT (SigIgn of the pytest process ends in 6), and the command under test inherits that. Shown: with SIGINT ignored it fails before and passes after, without it passes in both. What it checks is the same.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -8,7 +8,7 @@
 import os
 import signal
 import sys
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -324,7 +324,15 @@
         return response.status, await response.json()
 
 
-async def test_interrupt_ends_without_traceback():
+@pytest.fixture
+def interruptible() -> Iterator[None]:
+    """Let child processes take SIGINT, which a shell ignores for what it starts behind itself."""
+    inherited = signal.signal(signal.SIGINT, signal.default_int_handler)
+    yield
+    signal.signal(signal.SIGINT, inherited)
+
+
+async def test_interrupt_ends_without_traceback(interruptible: None):
     """Ctrl-C in a command that waits ends it quietly."""
     connected = asyncio.Event()
     server = await asyncio.start_server(lambda *_: connected.set(), "127.0.0.1", 0)
