Give tests in simulated time the same verdict on a busy machine

Traced: the owner rests after a forecast by how long it took on the real clock, while the test's time is simulated, so a busy machine forecasts less often. Change: the fixture of the simulated platform makes forecasts take no time; what the test checks is the same. The owner's code imports the clock by name, nothing else.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -73,8 +73,13 @@
 
 
 @pytest.fixture
-def world(caplog: pytest.LogCaptureFixture) -> Iterator[World]:
-    """A platform that no test may leave with a broken promise or a failed task."""
+def world(caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch) -> Iterator[World]:
+    """A platform that no test may leave with a broken promise or a failed task.
+
+    Time is simulated, also that which forecasts take: a busy machine would make the owner forecast
+    less often, and a load end otherwise than the last time.
+    """
+    monkeypatch.setattr("zincwell.dispatch._owner.perf_counter", lambda: 0.0)
     world = World()
     yield world
     world.close()
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -5,8 +5,8 @@
 import abc
 import asyncio
 import logging
-import time
 from dataclasses import dataclass
+from time import perf_counter
 
 from zincwell.dispatch._clocks import CLOCK_SLOWNESS
 from zincwell.dispatch._health import WorkerJudge
@@ -117,7 +117,7 @@
             sessions_by_id=self._workers.sessions_by_id,
             run_times=self._run_times,
             held_back_s=self._held_back_s,
-            clock=time.perf_counter,
+            clock=perf_counter,
         )
         self._judge = WorkerJudge(
             sessions_by_id=self._workers.sessions_by_id,
