--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -221,7 +221,9 @@
 
     # -- set-up -----------------------------------------------------------------------------
 
-    async def open(self, *, zones: str = "abc", entries: int = 2, workers: int = 2) -> None:
+    async def open(
+        self, *, zones: str = "abc", entries: int = 2, workers: int = 2, cores: float = 1.0
+    ) -> None:
         """Start entries and workers in each zone, and wait until there is an owner."""
         self.loop = asyncio.get_running_loop()
         self.store_changed = asyncio.Event()
@@ -231,9 +233,24 @@
         self.publish(1)
         for zone in zones:
             for number in range(1, entries + 1):
-                self.add_node(f"e-{zone}{number}", zone)
+                self.add_node(f"e-{zone}{number}", zone, cores=cores)
         await asyncio.sleep(3)
 
+    async def open_cells(self, *, entries: int = 3, workers: int = 8) -> None:
+        """Open a pool of three domains that is too large for one owner, and wait for three."""
+        await self.open(entries=entries, workers=workers, cores=workers / 50)
+        await asyncio.sleep(5)
+        assert len(self.owners()) == 3, self.owners()
+
+    def owner_in(self, zone: str) -> str:
+        """Return the owner of the cell of a zone."""
+        return next(name for name in self.owners() if self.nodes[name].me.zone == zone)
+
+    def entry_in(self, zone: str) -> str:
+        """Return an entry of a zone that owns nothing."""
+        names = [name for name, node in self.nodes.items() if node.me.zone == zone]
+        return next(name for name in names if name not in self.owners())
+
     def close(self) -> None:
         for node in self.nodes.values():
             node.close()
@@ -478,7 +495,7 @@
         # Given up or not, the answer comes and takes its time on the link.
         done, _ = await asyncio.wait({answer}, timeout=timeout_s)
         if not done:
-            answer.add_done_callback(lambda ended: ended.exception())
+            answer.add_done_callback(lambda ended: ended.cancelled() or ended.exception())
             raise WorkerCallError("no answer")
         return answer.result()
 
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -9,7 +9,8 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals
 
-from zincwell.dispatch._election import OWNER_KEY, Election, ElectionObserver
+from zincwell.dispatch._cells import OWNER_KEY
+from zincwell.dispatch._election import Election, ElectionObserver
 from zincwell.dispatch._types import EntryInfo, OwnerClaim
 from zincwell.dispatch.ports import Store, StorePage, StoreRecord, Topic
 
@@ -25,6 +26,9 @@
     def __init__(self) -> None:
         self.owners: list[str] = []
 
+    def on_layout(self, record):
+        pass
+
     def on_owner_heard(self):
         pass
 
@@ -65,7 +69,7 @@
         return StorePage(records=[], end=19)
 
     async def append(self, topic, *, key, value, at=None):
-        if topic is Topic.ENTRIES:
+        if topic is Topic.CLAIMS:
             self.appended.append(at)
         return 19
 
--- a/tests/test_foreign_entries.py
+++ b/tests/test_foreign_entries.py
@@ -14,7 +14,7 @@
 
 from tests.dispatch_world import World
 from tests.pool_jobs import finish, other_than, submit, verdicts
-from zincwell.dispatch._election import OWNER_KEY
+from zincwell.dispatch._cells import OWNER_KEY
 from zincwell.dispatch._types import Verdict, WorkerInfo
 from zincwell.dispatch.ports import StoreUnavailableError, Topic
 from zincwell.exceptions import DocumentError
@@ -126,7 +126,7 @@
     await world.open()
     owner = world.owners()[0]
     world._append(Topic.ENTRIES, "entry/stray", b"\xff{")
-    world._append(Topic.ENTRIES, OWNER_KEY, b'{"owner": 3}')
+    world._append(Topic.CLAIMS, OWNER_KEY, b'{"owner": 3}')
     await asyncio.sleep(0.1)
     world.kill_node(owner)
     await asyncio.sleep(2)
--- a/tests/test_pool_faults.py
+++ b/tests/test_pool_faults.py
@@ -290,3 +290,11 @@
     day = RandomDay(world, seed, DENSE_PAUSE_S)
     await day.play(faults=8)
     assert_that(world.owners(), HasLength(1))
+
+
+@pytest.mark.parametrize("seed", random_seeds())
+async def test_random_days_of_several_cells_keep_every_promise(world: World, seed: int):
+    await world.open_cells(workers=3)
+    day = RandomDay(world, seed, USUAL_PAUSE_S)
+    await day.play(faults=8)
+    assert_that(world.owners(), HasLength(3))
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -73,16 +73,22 @@
         self.token = 1
         self.submitted: list[Submit] = []
 
-    def fence(self):
+    def home(self):
+        return ""
+
+    def choose_cell(self, request, *, refused_by):
+        return ""
+
+    def fence(self, cell):
         return self.token
 
-    def silence_s(self):
+    def silence_s(self, cell):
         return 0.0
 
-    def submit(self, message):
+    def submit(self, cell, message):
         self.submitted.append(message)
 
-    def cancel(self, message):
+    def cancel(self, cell, message):
         pass
 
 
@@ -96,7 +102,7 @@
         desk.hand_again(after_s=-1)
     channel.token = 2
     desk.note_unsent({"job"} if unsent else set())
-    desk.hand_over()
+    desk.hand_over("")
     caller.cancel()
     desk.close()
     return channel.submitted[-1]
--- a/zincwell/dispatch/_callers.py
+++ b/zincwell/dispatch/_callers.py
@@ -1,10 +1,11 @@
-"""The entry's side of jobs: callers that wait, and the owner that their jobs were handed to."""
+"""The entry's side of jobs: callers that wait, and the owners that their jobs were handed to."""
 
 from __future__ import annotations
 
 import abc
 import asyncio
 import logging
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from zincwell.dispatch._messages import Cancel, JobEnded, Submit
@@ -22,32 +23,47 @@
 OWNERLESS_S = 1.2
 # Coming back is worth a try after this many seconds.
 RETRY_AFTER_S = 1.0
+# A job that an owner refused is handed to this many other cells, one after the other.
+MAX_PASSES = 2
 
 
 class OwnerChannel(abc.ABC):
-    """The way to the owner of the pool."""
+    """The way to the owners of the cells."""
 
     @abc.abstractmethod
-    def fence(self) -> int:
-        """Return the fencing token of the owner, 0 if none is known."""
+    def home(self) -> str:
+        """Return the name of the own cell."""
 
     @abc.abstractmethod
-    def silence_s(self) -> float:
-        """Return for how long no owner was heard."""
+    def choose_cell(self, request: JobRequest, *, refused_by: Collection[str]) -> str | None:
+        """Return the cell that a job should go to, None if all that would take it refused it."""
 
     @abc.abstractmethod
-    def submit(self, message: Submit) -> None:
-        """Hand a job to the owner."""
+    def fence(self, cell: str) -> int:
+        """Return the fencing token of a cell's owner, 0 if none is known."""
 
     @abc.abstractmethod
-    def cancel(self, message: Cancel) -> None:
-        """Tell the owner that nobody waits for a job."""
+    def silence_s(self, cell: str) -> float:
+        """Return for how long no owner of a cell was heard."""
+
+    @abc.abstractmethod
+    def submit(self, cell: str, message: Submit) -> None:
+        """Hand a job to the owner of a cell."""
+
+    @abc.abstractmethod
+    def cancel(self, cell: str, message: Cancel) -> None:
+        """Tell the owner of a cell that nobody waits for a job."""
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class PendingJob:
     """A job whose callers wait here.
 
+    Its tasks run in one cell only: it goes to another one if the owner that has it has refused it,
+    or if it was never sent.
+
+    :param cell: cell to whose owner it was handed, or will be.
+    :param refused_by: cells whose owners have refused it.
     :param handed_fence: fencing token of the owner that has it, 0 if none.
     :param handed_again: it was handed to that owner more than once.
     :param exposed: an owner has had it and may have started tasks of it.
@@ -55,6 +71,8 @@
 
     request: JobRequest
     arrived_at: float
+    cell: str
+    refused_by: set[str] = field(default_factory=set)
     waiters: set[asyncio.Future[Outcome]] = field(default_factory=set)
     done: set[tuple[int, int]] = field(default_factory=set)
     handed_fence: int = 0
@@ -93,10 +111,10 @@
         """
         pending = self._pending_by_id.get(request.id)
         if pending is None:
-            pending = PendingJob(request=request, arrived_at=self._loop.time())
+            cell = self._channel.choose_cell(request, refused_by=()) or self._channel.home()
+            pending = PendingJob(request=request, arrived_at=self._loop.time(), cell=cell)
             self._pending_by_id[request.id] = pending
-            if self._channel.fence():
-                self._hand(pending)
+            self._hand(pending)
         waiter: asyncio.Future[Outcome] = self._loop.create_future()
         pending.waiters.add(waiter)
         try:
@@ -108,9 +126,10 @@
 
     def cancel(self, job_id: str) -> bool:
         """Cancel a job for its caller; False if no caller of it waits here."""
-        if job_id not in self._pending_by_id:
+        pending = self._pending_by_id.get(job_id)
+        if pending is None:
             return False
-        self._channel.cancel(Cancel(job=job_id))
+        self._channel.cancel(pending.cell, Cancel(job=job_id))
         self.settle(job_id, Outcome(verdict=Verdict.CANCELLED))
         return True
 
@@ -125,9 +144,32 @@
         only if the owner that has it says so; the job may run under a later owner.
         """
         pending = self._pending_by_id.get(message.job)
-        final = message.outcome.verdict in (Verdict.SUCCEEDED, Verdict.FAILED)
-        if pending is not None and (final or message.fence == pending.handed_fence):
-            self.settle(message.job, message.outcome)
+        if pending is None:
+            return
+        verdict = message.outcome.verdict
+        if message.fence != pending.handed_fence:
+            if verdict in (Verdict.SUCCEEDED, Verdict.FAILED):
+                self.settle(message.job, message.outcome)
+            return
+        if verdict is Verdict.REFUSED and self._pass_on(pending):
+            return
+        self.settle(message.job, message.outcome)
+
+    def _pass_on(self, pending: PendingJob) -> bool:
+        """Hand a job that was refused to another cell; return whether there is one.
+
+        The owner that refused it has started nothing of it and never will.
+        """
+        pending.refused_by.add(pending.cell)
+        if pending.exposed or len(pending.refused_by) > MAX_PASSES:
+            return False
+        cell = self._channel.choose_cell(pending.request, refused_by=pending.refused_by)
+        if cell is None:
+            return False
+        self._metrics.count("jobs_passed_on")
+        pending.cell, pending.handed_fence = cell, 0
+        self._hand(pending)
+        return True
 
     def settle(self, job_id: str, outcome: Outcome) -> None:
         """Answer all callers of a job."""
@@ -159,13 +201,21 @@
         if pending is not None:
             pending.done.update(tuple(task) for task in tasks)
 
-    def hand_over(self) -> None:
-        """Hand all waiting jobs to the owner that has just become known."""
-        fence = self._channel.fence()
+    def hand_over(self, cell: str) -> None:
+        """Hand all waiting jobs of a cell to its owner that has just become known."""
+        fence = self._channel.fence(cell)
         for pending in self._pending_by_id.values():
-            if pending.handed_fence != fence:
+            if pending.cell == cell and pending.handed_fence != fence:
                 self._hand(pending)
 
+    def bring_home(self) -> None:
+        """Keep all jobs for the own cell, as the cells are others now.
+
+        Those that were handed to an owner may run anywhere until their leases have lapsed.
+        """
+        for pending in self._pending_by_id.values():
+            pending.cell = self._channel.home()
+
     def note_unsent(self, job_ids: set[str]) -> None:
         """Take note of jobs that never left for the owner that they were handed to.
 
@@ -177,6 +227,16 @@
             pending = self._pending_by_id.get(job_id)
             if pending is not None and not pending.handed_again:
                 pending.handed_fence = 0
+                self._choose_again(pending)
+
+    def _choose_again(self, pending: PendingJob) -> None:
+        """Hand a job that was never sent to the cell that takes it now."""
+        if pending.exposed or pending.handed_fence:
+            return
+        cell = self._channel.choose_cell(pending.request, refused_by=pending.refused_by)
+        if cell is not None and cell != pending.cell:
+            pending.cell = cell
+            self._hand(pending)
 
     def give_up_all(self) -> None:
         """Answer everything that still waits, before the process ends."""
@@ -184,19 +244,22 @@
             self._give_up(pending, "shutting down")
 
     def _hand(self, pending: PendingJob) -> None:
-        fence = self._channel.fence()
+        fence = self._channel.fence(pending.cell)
+        if not fence:
+            return
         pending.handed_again = pending.handed_fence == fence
         if pending.handed_fence:
             pending.exposed = True
         pending.handed_fence = fence
         pending.handed_at = self._loop.time()
         self._channel.submit(
+            pending.cell,
             Submit(
                 job=pending.request,
                 age_s=self._loop.time() - pending.arrived_at,
                 exposed=pending.exposed,
                 done=sorted(pending.done),
-            )
+            ),
         )
 
     def _leave(self, pending: PendingJob) -> None:
@@ -206,7 +269,7 @@
         log.info("caller_left job=%s", pending.request.id)
         del self._pending_by_id[pending.request.id]
         if pending.handed_fence:
-            self._channel.cancel(Cancel(job=pending.request.id))
+            self._channel.cancel(pending.cell, Cancel(job=pending.request.id))
 
     def _give_up(self, pending: PendingJob, reason: str) -> None:
         # Once handed over, an owner that can't be asked may have started it.
@@ -216,20 +279,26 @@
         if pending.handed_fence:
             # It may still wait in the link to an owner that can't be reached. Started there once
             # it can, it would run beside what the caller has sent again elsewhere.
-            self._channel.cancel(Cancel(job=pending.request.id))
+            self._channel.cancel(pending.cell, Cancel(job=pending.request.id))
 
     async def _review_forever(self) -> None:
         while True:
             await asyncio.sleep(REVIEW_S)
-            if self._channel.silence_s() < OWNERLESS_S and self._channel.fence():
-                self.hand_again(after_s=HAND_AGAIN_S)
-                continue
+            self.hand_again(after_s=HAND_AGAIN_S)
             for pending in list(self._pending_by_id.values()):
+                if self._is_heard(pending.cell):
+                    continue
                 if self._loop.time() - pending.arrived_at > self._patience_s(pending):
                     self._give_up(pending, "no owner of the pool is known")
+                else:
+                    self._choose_again(pending)
+
+    def _is_heard(self, cell: str) -> bool:
+        heard = self._channel.silence_s(cell) < OWNERLESS_S
+        return heard and bool(self._channel.fence(cell))
 
     def hand_again(self, *, after_s: float) -> None:
-        """Hand jobs in once more that the owner may not know (any more).
+        """Hand jobs in once more that their owner may not know (any more).
 
         :param after_s: only those that were handed in longer ago.
 
@@ -238,7 +307,7 @@
         """
         now = self._loop.time()
         for pending in self._pending_by_id.values():
-            if now - pending.handed_at > after_s:
+            if now - pending.handed_at > after_s and self._is_heard(pending.cell):
                 self._hand(pending)
 
     def _patience_s(self, pending: PendingJob) -> float:
@@ -248,6 +317,6 @@
         owner for longer, a quarter of its objective.
         """
         slo_s = pending.request.slo_s()
-        if self._channel.silence_s() < OWNERLESS_S:
+        if self._channel.silence_s(pending.cell) < OWNERLESS_S:
             return slo_s - pending.request.chain_ms() / 1000
         return max(REVIEW_S, slo_s / 4)
--- /dev/null
+++ b/zincwell/dispatch/_cell_board.py
@@ -0,0 +1,166 @@
+"""What an entry knows of all cells: layout, owners, and how each stands."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from zincwell.dispatch._cells import UNDIVIDED, Cell, Layout
+from zincwell.dispatch._messages import CellReport
+from zincwell.dispatch._types import EntryInfo, JobRequest
+from zincwell.dispatch.decisions import (
+    SUSPECT_S,
+    CellState,
+    choose_other_cell,
+    is_served_at_home,
+)
+
+log = logging.getLogger("zincwell.cells")
+
+# Reports older than this are not passed on, in seconds.
+PASS_ON_S = 1.0
+
+
+@dataclass(slots=True, kw_only=True)
+class CellView:
+    """What is known of one cell.
+
+    :param claimed_at: when its newest claim was seen.
+    :param made_at: when its newest report was made.
+    """
+
+    owner: EntryInfo | None = None
+    fence: int = 0
+    claimed_at: float = -math.inf
+    report: CellReport | None = None
+    made_at: float = -math.inf
+
+
+class CellBoard:
+    """Keeps the layout and the newest word of each cell, and says where a job should go."""
+
+    def __init__(self, *, me: EntryInfo) -> None:
+        self.layout = UNDIVIDED
+        self.layout_offset = -1
+        self.home = UNDIVIDED.cells[0]
+        self._me = me
+        self._views_by_cell: dict[str, CellView] = {}
+        self._loop = asyncio.get_running_loop()
+
+    def set_layout(self, offset: int, layout: Layout) -> None:
+        """Follow a newer layout."""
+        self.layout, self.layout_offset = layout, offset
+        self.home = layout.cell_of(self._me.zone, self._me.name)
+        names = {cell.name for cell in layout.cells}
+        self._views_by_cell = {
+            name: view for name, view in self._views_by_cell.items() if name in names
+        }
+        log.info("layout_followed offset=%d cells=%d home=%s", offset, len(names), self.home.name)
+
+    def covers(self, domain: str, name: str) -> bool:
+        """Return whether a worker or entry belongs to the own cell."""
+        return self.layout.cell_of(domain, name) is self.home
+
+    def other_cells(self) -> list[Cell]:
+        """Return all cells but the own one."""
+        return [cell for cell in self.layout.cells if cell is not self.home]
+
+    def note_owner(self, cell: str, owner: EntryInfo, fence: int) -> bool:
+        """Take note of the owner of a cell; return whether it is a new one."""
+        view = self._views_by_cell.setdefault(cell, CellView())
+        if fence <= view.fence:
+            return False
+        view.owner, view.fence, view.claimed_at = owner, fence, self._loop.time()
+        view.report, view.made_at = None, -math.inf
+        return True
+
+    def note_report(self, report: CellReport) -> None:
+        """Take note of what an owner says of its cell, at first hand or passed on."""
+        view = self._views_by_cell.get(report.cell)
+        made_at = self._loop.time() - report.age_s
+        if view is None or report.fence < view.fence or made_at <= view.made_at:
+            return
+        view.report, view.made_at = report, made_at
+
+    def owner_of(self, cell: str) -> EntryInfo | None:
+        """Return the owner of a cell, None if none is known."""
+        view = self._views_by_cell.get(cell)
+        return view.owner if view is not None else None
+
+    def fence_of(self, cell: str) -> int:
+        """Return the fencing token of a cell's owner, 0 if none is known."""
+        view = self._views_by_cell.get(cell)
+        return view.fence if view is not None else 0
+
+    def silence_s(self, cell: str) -> float:
+        """Return for how long nothing was heard of a cell's owner."""
+        view = self._views_by_cell.get(cell)
+        if view is None:
+            return math.inf
+        return self._loop.time() - max(view.made_at, view.claimed_at)
+
+    def fresh_reports(self) -> list[CellReport]:
+        """Return the reports of other cells that are young enough to be passed on."""
+        now = self._loop.time()
+        return [
+            CellReport(
+                cell=view.report.cell,
+                fence=view.report.fence,
+                free_cpu=view.report.free_cpu,
+                backlog_s=round(view.report.backlog_s, 3),
+                age_s=round(now - view.made_at, 3),
+                pending=view.report.pending,
+            )
+            for name, view in self._views_by_cell.items()
+            if name != self.home.name and view.report and now - view.made_at < PASS_ON_S
+        ]
+
+    def pending_by_route(self) -> dict[str, int]:
+        """Return by route how many jobs of all cells have no task started."""
+        counts: dict[str, int] = {}
+        for view in self._views_by_cell.values():
+            for route, count in (view.report.pending if view.report else {}).items():
+                counts[route] = counts.get(route, 0) + count
+        return counts
+
+    def choose(
+        self, request: JobRequest, *, home_silence_s: float, refused_by: Iterable[str]
+    ) -> str | None:
+        """Return the cell that a job should go to, None if all that would take it refused it.
+
+        :param home_silence_s: for how long the own cell's owner was not heard.
+        :param refused_by: cells that have refused it.
+        """
+        refused = set(refused_by)
+        home = self.home.name
+        home_state = self._state_of(home, home_silence_s)
+        if home not in refused and is_served_at_home(home_state):
+            return home
+        others = {
+            cell.name: self._state_of(cell.name, self.silence_s(cell.name))
+            for cell in self.other_cells()
+            if cell.name not in refused
+        }
+        cpu = sum(step.count * step.cpu for step in request.steps)
+        may_wait = home not in refused and home_silence_s < SUSPECT_S
+        chosen = choose_other_cell(request.id, cpu, others, may_wait=may_wait)
+        if chosen is not None:
+            log.info(
+                "sent_elsewhere job=%s cell=%s refused_by=%d", request.id, chosen, len(refused)
+            )
+            return chosen
+        return home if home not in refused else None
+
+    def _state_of(self, cell: str, silence_s: float) -> CellState:
+        view = self._views_by_cell.get(cell)
+        if view is None or view.report is None:
+            return CellState(silence_s=silence_s, age_s=math.inf)
+        return CellState(
+            free_cpu=view.report.free_cpu,
+            backlog_s=view.report.backlog_s,
+            age_s=self._loop.time() - view.made_at,
+            silence_s=silence_s,
+        )
--- a/zincwell/dispatch/_directory.py
+++ b/zincwell/dispatch/_directory.py
@@ -5,7 +5,7 @@
 import asyncio
 import itertools
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from zincwell.dispatch._domains import DOMAIN_SILENT_S
 from zincwell.dispatch._messages import Hello, Receipt
@@ -25,6 +25,7 @@
     """Knows all entries, this one included, and opens links to the others.
 
     :param clock: this entry's clock; it counts the time that the VM was suspended.
+    :param is_fellow: tells whether an entry belongs to the own cell.
     """
 
     def __init__(
@@ -34,7 +35,9 @@
         client: PeerClient,
         observer: LinkObserver,
         clock: Callable[[], float],
+        is_fellow: Callable[[EntryInfo], bool] = lambda entry: True,
     ) -> None:
+        self._is_fellow = is_fellow
         self.entries_by_name: dict[str, EntryInfo] = {me.name: me}
         self.links_by_name: dict[str, PeerLink] = {}
         self._me = me
@@ -85,15 +88,18 @@
             self.links_by_name[entry.name] = link
         return link
 
+    def fellows(self) -> list[EntryInfo]:
+        """Return the entries of the own cell, this one included."""
+        return [entry for entry in self.entries_by_name.values() if self._is_fellow(entry)]
+
     def idle_links(self) -> list[PeerLink]:
-        """Return the links to all other entries that have nothing to deliver."""
-        others = [e for e in self.entries_by_name.values() if e.name != self._me.name]
-        links = [self.link(entry) for entry in others]
+        """Return the links to all other entries of the cell that have nothing to deliver."""
+        links = [self.link(entry) for entry in self.fellows() if entry.name != self._me.name]
         return [link for link in links if link.is_idle()]
 
     def known(self) -> list[EntryInfo]:
-        """Return all entries that are not known to be gone, this one included."""
-        return [entry for entry in self.entries_by_name.values() if not self._is_gone(entry)]
+        """Return the cell's entries that are not known to be gone, this one included."""
+        return [entry for entry in self.fellows() if not self._is_gone(entry)]
 
     def _is_gone(self, entry: EntryInfo) -> bool:
         link = self.links_by_name.get(entry.name)
@@ -110,12 +116,14 @@
             if now - link.last_receipt_at > PROBE_AGAIN_S:
                 link.send(Hello())
 
-    def fresh_receipts(self, age_s: float) -> list[Receipt]:
-        """Return the acknowledgements of other entries that are younger than an age."""
+    def fresh_receipts(self, cell: str, age_s: float) -> list[Receipt]:
+        """Return acknowledgements of a cell's entries that are younger than an age."""
         return [
             link.last_receipt
             for link in self.links_by_name.values()
-            if link.last_receipt is not None and self._loop.time() - link.last_receipt_at < age_s
+            if link.last_receipt is not None
+            and link.last_receipt.cell == cell
+            and self._loop.time() - link.last_receipt_at < age_s
         ]
 
     def successors(self) -> list[str]:
@@ -123,20 +131,26 @@
         alive = [
             link
             for link in self.links_by_name.values()
-            if link.last_receipt is not None
+            if self._is_fellow(link.peer)
+            and link.last_receipt is not None
             and not link.last_receipt.leaving
             and link.silence_s() < DOMAIN_SILENT_S
         ]
         alive.sort(key=lambda link: link.peer.rank_as_owner())
         return [link.peer.name for link in alive]
 
-    def withdraw_jobs(self, *, owner: str) -> set[str]:
-        """Take back jobs that were not delivered to any entry but the owner.
+    def withdraw_jobs(self, *, owners: Collection[str]) -> set[str]:
+        """Take back jobs that were not delivered to any entry but the owners of cells.
 
         Returns the ids of those that were never sent.
         """
         unsent: set[str] = set()
         for name, link in self.links_by_name.items():
-            if name != owner:
+            if name not in owners:
                 unsent |= link.withdraw_jobs()
         return unsent
+
+    def withdraw_unsent(self, owner: str) -> set[str]:
+        """Take back the jobs that wait behind a delivery to an owner that does not answer."""
+        link = self.links_by_name.get(owner)
+        return link.withdraw_unsent() if link is not None else set()
--- a/zincwell/dispatch/_election.py
+++ b/zincwell/dispatch/_election.py
@@ -1,4 +1,4 @@
-"""Who owns the pool: claims in the store, silence, and stand-ins behind a partition.
+"""Who owns a cell: claims in the store, silence, and stand-ins behind a partition.
 
 An entry becomes owner by a record in the store, appended under the condition that nobody else
 appended meanwhile. The record's offset makes the fencing token, so tokens are unique and rise.
@@ -14,10 +14,17 @@
 
 import msgspec
 
+from zincwell.dispatch._cells import LAYOUT_KEY, WHOLE_POOL, Cell
 from zincwell.dispatch._messages import Beat, Receipt
 from zincwell.dispatch._tasks import TaskGroup
 from zincwell.dispatch._types import EntryInfo, OwnerClaim
-from zincwell.dispatch.ports import Store, StoreConflictError, StoreUnavailableError, Topic
+from zincwell.dispatch.ports import (
+    Store,
+    StoreConflictError,
+    StoreRecord,
+    StoreUnavailableError,
+    Topic,
+)
 
 log = logging.getLogger("zincwell.election")
 
@@ -56,8 +63,9 @@
 NEVER_HEARD_S = 3600.0
 # Between two tries to claim while the store does not answer.
 CLAIM_PAUSE_S = 0.2
-
-OWNER_KEY = "owner"
+# Claims of all cells stand in one log. After a restart of all VMs the owners of 28 domains claim at
+# once, and one of them gets through each time.
+CLAIM_TRIES = 32
 
 
 def make_fence(offset: int, place: int = 0) -> int:
@@ -68,6 +76,10 @@
 class ElectionObserver(abc.ABC):
     """What the election asks and tells the node."""
 
+    @abc.abstractmethod
+    def on_layout(self, record: StoreRecord) -> None:
+        """Take note of the newest layout of the cells, which may end this election."""
+
     @abc.abstractmethod
     def on_owner(self, owner: EntryInfo, fence: int, domain: str) -> None:
         """Follow another entry as owner."""
@@ -82,7 +94,7 @@
 
     @abc.abstractmethod
     def known_entries(self) -> list[EntryInfo]:
-        """Return all entries that are not known to be gone, this one included."""
+        """Return all entries of the cell that are not known to be gone, this one included."""
 
     @abc.abstractmethod
     def probe(self) -> None:
@@ -94,11 +106,25 @@
 
 
 class Election:
-    """Decides when this entry claims the pool, and whom it follows."""
-
-    def __init__(self, *, me: EntryInfo, store: Store, observer: ElectionObserver) -> None:
+    """Decides when this entry claims its cell, and whom it follows.
+
+    :param at_once: nobody else has the cell, so there is nobody to wait for.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: EntryInfo,
+        store: Store,
+        observer: ElectionObserver,
+        cell: Cell = WHOLE_POOL,
+        at_once: bool = False,
+    ) -> None:
         self.owner: EntryInfo | None = None
         self.fence = 0
+        self.cell = cell
+        self._key = cell.claim_key()
+        self._closed = False
         self.domain = ""
         self.successors: list[str] = []
         self.owner_leaving = False
@@ -109,7 +135,7 @@
         self._observer = observer
         self._loop = asyncio.get_running_loop()
         # Until when silence is patiently borne, and when a sign of the owner really came.
-        self._heard_at = self._loop.time() + START_GRACE_S
+        self._heard_at = self._loop.time() + (-SILENCE_S if at_once else START_GRACE_S)
         self._sign_at = -math.inf
         self._gone = ""
         self._other_owner_heard_at = -1e9
@@ -118,7 +144,7 @@
         self._store_failed = False
         self._leaving_since = 0.0
         self._stand_in_round = 0
-        self._liveness_end = -1
+        self._liveness_end = -2
         self._liveness_moved_at = self._loop.time()
         self._liveness_read_at = 0.0
         self._tasks = TaskGroup()
@@ -126,6 +152,7 @@
 
     def close(self) -> None:
         """Take no further part."""
+        self._closed = True
         self._tasks.close()
 
     def silence_s(self) -> float:
@@ -183,6 +210,9 @@
 
     def note_beat(self, beat: Beat) -> None:
         """Take note of an owner's heartbeat."""
+        if beat.cell != self.cell.name:
+            # Sent under another layout, which one side has not heard of yet.
+            return
         now = self._loop.time()
         if beat.domain and beat.domain != self._me.zone:
             # A stand-in of another failure domain: the owner has to claim anew to get it back.
@@ -369,8 +399,9 @@
             self._store_failed = True
             return
         self._store_failed = False
-        if page.end != self._liveness_end:
-            self._liveness_end = page.end
+        shown = max((r.offset for r in page.records if r.key == self._key), default=-1)
+        if shown != self._liveness_end:
+            self._liveness_end = shown
             self._liveness_moved_at = self._loop.time()
 
     def _can_stand_in(self) -> bool:
@@ -396,31 +427,49 @@
         """Try to append a claim, and follow whatever claim is the newest.
 
         Another claim may come by the store's feed while this one is prepared. Claiming over it
-        would move the pool twice, and the jobs that the first owner had just got would wait for
-        1.4 s, since they may run unseen.
+        would move the cell twice, and the jobs that the first owner had just got would wait for
+        1.4 s, since they may run unseen. A claim of another cell that comes between is no reason
+        to wait, nor is it one to give up.
         """
         known = self._claim_offset
+        for _ in range(CLAIM_TRIES):
+            if not await self._try_claim(known):
+                return
+
+    async def _try_claim(self, known: int) -> bool:
+        """Try once to append a claim; return whether to try again.
+
+        :param known: offset of the newest claim of this cell when the decision was made.
+        """
         claim = OwnerClaim(owner=self._me, members=self._observer.known_entries())
         try:
-            page = await self._store.newest(Topic.ENTRIES)
+            page = await self._store.newest(Topic.CLAIMS)
             self._store_failed = False
-            for record in page.records:
-                if record.key == OWNER_KEY:
-                    self.note_claim(record.offset, decode_claim(record.value))
-            if self._claim_offset > known:
-                return
+            self.note_records(page.records)
+            if self._closed or self._claim_offset > known:
+                return False
             offset = await self._store.append(
-                Topic.ENTRIES, key=OWNER_KEY, value=msgspec.json.encode(claim), at=page.end
+                Topic.CLAIMS, key=self._key, value=msgspec.json.encode(claim), at=page.end
             )
         except StoreConflictError:
-            log.info("claim_lost at=%d", page.end)
-            return
+            log.info("claim_lost cell=%s at=%d", self.cell.name, page.end)
+            return True
         except StoreUnavailableError as error:
             # It may have taken effect; the next look at the store tells.
             log.warning('claim_unanswered error="%s"', error)
             self._store_failed = True
-            return
+            return False
         self.note_claim(offset, claim)
+        return False
+
+    def note_records(self, records: list[StoreRecord]) -> None:
+        """Take note of the newest records of the log of claims."""
+        for record in records:
+            if record.key == LAYOUT_KEY:
+                self._observer.on_layout(record)
+        for record in records:
+            if record.key == self._key and not self._closed:
+                self.note_claim(record.offset, decode_claim(record.value))
 
 
 def decode_claim(value: bytes) -> OwnerClaim | None:
--- a/zincwell/dispatch/_jobs.py
+++ b/zincwell/dispatch/_jobs.py
@@ -111,6 +111,10 @@
         self.started = True
         self.left[task.id.step] -= 1
 
+    def waiting_work(self) -> float:
+        """Return the estimated work of the tasks that wait, in core-seconds times a thousand."""
+        return self.request.work() * self.waiting / sum(step.count for step in self.request.steps)
+
     def is_complete(self) -> bool:
         """Return whether all tasks are done."""
         return not any(self.left)
--- a/zincwell/dispatch/_messages.py
+++ b/zincwell/dispatch/_messages.py
@@ -4,6 +4,7 @@
 
 from msgspec import Struct
 
+from zincwell.dispatch._cells import Layout
 from zincwell.dispatch._types import EntryInfo, JobRequest, Outcome
 
 
@@ -45,6 +46,25 @@
     fence: int
 
 
+class CellReport(Struct, frozen=True, kw_only=True, tag="cell", omit_defaults=True):
+    """Owner to owners of other cells, and to entries elsewhere whose jobs it has: how it stands.
+
+    :param cell: name of its cell.
+    :param fence: fencing token that the owner gives its orders under.
+    :param free_cpu: thousandths of a core that its workers have free.
+    :param backlog_s: how long its workers would need for what waits.
+    :param age_s: how old the report is; one that is passed on was made earlier.
+    :param pending: by route, jobs of which no task has started.
+    """
+
+    cell: str
+    fence: int
+    free_cpu: int = 0
+    backlog_s: float = 0.0
+    age_s: float = 0.0
+    pending: dict[str, int] = {}
+
+
 class Beat(Struct, frozen=True, kw_only=True, tag="beat", omit_defaults=True):
     """Owner to entry: heartbeat.
 
@@ -54,6 +74,8 @@
     :param domain: failure domain that a stand-in serves, empty for the owner of all.
     :param pending: by route, jobs of which no task has started.
     :param complete_s: for how long the owner has heard an entry of each failure domain.
+    :param cell: name of its cell.
+    :param reports: how this cell and others stand, in some of the heartbeats.
     """
 
     fence: int
@@ -63,13 +85,22 @@
     leaving: bool = False
     pending: dict[str, int] = {}
     complete_s: float = 0.0
+    cell: str = ""
+    reports: list[CellReport] = []
+
+
+class LayoutNotice(Struct, frozen=True, kw_only=True, tag="layout"):
+    """Entry to entry: a layout that is newer than the one that you follow, and its place."""
+
+    layout: Layout
+    offset: int
 
 
 class Hello(Struct, frozen=True, kw_only=True, tag="hello"):
     """Entry to entry: are you there, and do you hear the owner?"""
 
 
-Message = Submit | Cancel | TasksDone | JobEnded | Beat | Hello
+Message = Submit | Cancel | TasksDone | JobEnded | CellReport | LayoutNotice | Beat | Hello
 
 
 class Envelope(Struct, frozen=True, kw_only=True):
@@ -93,7 +124,9 @@
     """Acknowledgement of an envelope.
 
     :param receiver: the entry that answers; a new life of it knows nothing of earlier messages.
-    :param fence: highest fencing token of an owner that the receiver has heard of.
+    :param fence: highest fencing token of an owner of its cell that the receiver has heard of.
+    :param cell: name of that cell.
+    :param layout_offset: where in the store the layout stands that the receiver follows.
     :param owner_silence_s: for how long the receiver has not heard the owner.
     :param leaving: the receiver takes nothing over: it shuts down, or was too slow as owner.
     :param version: newest version of the configuration that the receiver knows.
@@ -102,6 +135,8 @@
 
     receiver: EntryInfo
     fence: int = 0
+    cell: str = ""
+    layout_offset: int = -1
     owner_silence_s: float = 0.0
     leaving: bool = False
     version: int = 0
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -4,29 +4,36 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Collection
 
 import msgspec
 
 from zincwell.dispatch._callers import CallerDesk, OwnerChannel
+from zincwell.dispatch._cell_board import CellBoard
+from zincwell.dispatch._cells import LAYOUT_KEY, OWNER_KEY, Layout, decode_layout
 from zincwell.dispatch._configurations import ConfigurationKeeper
 from zincwell.dispatch._directory import EntryDirectory
 from zincwell.dispatch._domains import DomainWatch
 from zincwell.dispatch._election import (
     LIVENESS_S,
-    OWNER_KEY,
+    SUSPECT_S,
     Election,
     ElectionObserver,
     decode_claim,
+    make_fence,
 )
 from zincwell.dispatch._feeds import TopicFollower
+from zincwell.dispatch._layout_keeper import LOOK_S, LayoutKeeper
 from zincwell.dispatch._listing import WorkerListing
 from zincwell.dispatch._messages import (
     Beat,
     Cancel,
+    CellReport,
     Envelope,
     Hello,
     JobEnded,
+    LayoutNotice,
     Message,
     Receipt,
     Submit,
@@ -37,8 +44,22 @@
 from zincwell.dispatch._peers import Inbox, LinkObserver, PeerLink
 from zincwell.dispatch._slowness import SlownessWatch
 from zincwell.dispatch._tasks import TaskGroup
-from zincwell.dispatch._types import Configuration, EntryInfo, Limits, Outcome, WorkerInfo
-from zincwell.dispatch.ports import PeerClient, Store, StoreUnavailableError, Topic, WorkerClient
+from zincwell.dispatch._types import (
+    Configuration,
+    EntryInfo,
+    JobRequest,
+    Limits,
+    Outcome,
+    WorkerInfo,
+)
+from zincwell.dispatch.ports import (
+    PeerClient,
+    Store,
+    StoreRecord,
+    StoreUnavailableError,
+    Topic,
+    WorkerClient,
+)
 
 log = logging.getLogger("zincwell.node")
 
@@ -62,10 +83,18 @@
 # While domains are cut off, jobs of an entry that is silent for this long are stopped. Callers see
 # its death at once and send again 1.3 s later; a stop takes up to 0.2 s.
 ENTRY_LOST_S = 0.9
+# Each so many heartbeats owners tell other cells and their own entries how cells stand. Jobs go
+# elsewhere by reports that are this old, so callers of a burst wait at home for as long.
+REPORT_BEATS = 2
+# An owner tells this many others, so that what it sends does not grow with the number of cells.
+REPORTED_CELLS = 8
+# After the cells have changed, runs that the cells before them began may live anywhere for this
+# many seconds: for a lease, and until the owners there have stopped what nobody claims.
+CELLS_NEW_S = 3.0
 
 
 class Node(LinkObserver, OwnerListener, OwnerChannel, ElectionObserver):
-    """An entry of the pool.
+    """An entry of the pool, in one of its cells.
 
     :param me: name, address for other entries, failure domain and incarnation of this process.
     :param clock: a steady clock that counts the time that the VM was suspended, which the loop's
@@ -85,13 +114,20 @@
         self.me = me
         self.leaving = False
         self.refusing = False
-        self.pending_by_route: dict[str, int] = {}
+        self._home_pending: dict[str, int] = {}
         self._store = store
         self._worker_client = workers
         self._limits = limits
         self._loop = asyncio.get_running_loop()
         self._clock = clock or self._loop.time
-        self._directory = EntryDirectory(me=me, client=peers, observer=self, clock=self._clock)
+        self._board = CellBoard(me=me)
+        self._directory = EntryDirectory(
+            me=me,
+            client=peers,
+            observer=self,
+            clock=self._clock,
+            is_fellow=lambda entry: self._board.covers(entry.zone, entry.name),
+        )
         self._inbox = Inbox()
         self._metrics = Metrics()
         self.configurations = ConfigurationKeeper(client=peers, metrics=self._metrics)
@@ -99,11 +135,16 @@
         self._domains = DomainWatch(me=me)
         self._listing = WorkerListing()
         self._slowness = SlownessWatch()
+        self._layouts = LayoutKeeper(
+            me=me, store=store, board=self._board, on_layout=self.on_layout
+        )
+        self._cells_new_until = 0.0
+        self._beats = 0
         self._tasks = TaskGroup()
 
     def open(self) -> None:
         """Start to follow the store, to register and to take part."""
-        self.election = Election(me=self.me, store=self._store, observer=self)
+        self.election = self._make_election(at_once=False)
         self.desk = CallerDesk(channel=self, metrics=self._metrics)
         self._configuration_feed = TopicFollower(
             store=self._store,
@@ -123,15 +164,27 @@
             on_change=self._on_entries,
             wait_s=ENTRIES_WAIT_S,
         )
+        self._claims_feed = TopicFollower(
+            store=self._store,
+            topic=Topic.CLAIMS,
+            on_change=self._on_claims,
+            wait_s=ENTRIES_WAIT_S,
+        )
         self._tasks.spawn(self._register())
         self._tasks.spawn(self._beat_forever())
         self._tasks.spawn(self._show_life_forever())
+        self._tasks.spawn(self._tend_layout_forever())
 
     def close(self) -> None:
         """Stop everything at once."""
         self.election.close()
         self.desk.close()
-        for feed in (self._configuration_feed, self._workers_feed, self._entries_feed):
+        for feed in (
+            self._configuration_feed,
+            self._workers_feed,
+            self._entries_feed,
+            self._claims_feed,
+        ):
             feed.close()
         if self._owner is not None:
             self._owner.close()
@@ -148,7 +201,10 @@
         """Return whether callers should be sent here."""
         if self.leaving or self.configuration is None or not self.election.fence:
             return False
-        return self.election.owner is not None and self.election.silence_s() < 1.0
+        if self.election.owner is not None and self.election.silence_s() < 1.0:
+            return True
+        # Without an owner of its own an entry hands its jobs to other cells.
+        return any(self._board.silence_s(cell.name) < 1.0 for cell in self._board.other_cells())
 
     def render_metrics(self) -> str:
         """Return counters, histograms and what this entry believes now, as text."""
@@ -160,6 +216,7 @@
             "configuration_age_seconds": self._loop.time() - self._configuration_feed.read_at,
             "callers_waiting": self.desk.count(),
             "entries_known": len(self._directory.entries_by_name),
+            "cells": len(self._board.layout.cells),
         }
         if self._owner is not None:
             gauges.update(self._owner.gauges())
@@ -186,7 +243,7 @@
         log.info("drained after_s=%.1f", self._loop.time() - started)
 
     def _must_hand_over(self) -> bool:
-        return self.election.is_owner() and len(self._directory.entries_by_name) > 1
+        return self.election.is_owner() and len(self._directory.fellows()) > 1
 
     # -- what the store tells ---------------------------------------------------------------
 
@@ -218,14 +275,87 @@
     def _on_entries(self, keys: set[str]) -> None:
         for key in keys:
             record = self._entries_feed.records_by_key.get(key)
-            if record is None:
-                continue
-            if key == OWNER_KEY:
-                self.election.note_claim(record.offset, decode_claim(record.value))
-            else:
+            if record is not None:
                 self._note_entry(key, record.value)
         self._check_owner_life()
 
+    def _on_claims(self, keys: set[str]) -> None:
+        layout = self._claims_feed.records_by_key.get(LAYOUT_KEY)
+        if layout is not None:
+            self.on_layout(layout)
+        for key in keys:
+            record = self._claims_feed.records_by_key.get(key)
+            if record is not None and key.partition("/")[0] == OWNER_KEY:
+                self._note_claim(record)
+        self._check_owner_life()
+
+    def _note_claim(self, record: StoreRecord) -> None:
+        """Take note of the newest claim of any cell."""
+        claim = decode_claim(record.value)
+        if claim is None:
+            return
+        cell = record.key.partition("/")[2]
+        if cell == self._board.home.name:
+            self.election.note_claim(record.offset, claim)
+            return
+        if self._board.note_owner(cell, claim.owner, make_fence(record.offset)):
+            self._directory.note(claim.owner)
+            self.desk.note_unsent(self._directory.withdraw_jobs(owners=self._owner_names()))
+            self.desk.hand_over(cell)
+
+    def _owner_names(self) -> set[str]:
+        """Return the names of the entries that own a cell, as far as known."""
+        owners = [self._board.owner_of(cell.name) for cell in self._board.other_cells()]
+        return {owner.name for owner in [*owners, self.election.owner] if owner is not None}
+
+    def on_layout(self, record: StoreRecord) -> None:
+        """Follow a newer layout of the cells."""
+        if record.offset <= self._board.layout_offset:
+            return
+        layout = decode_layout(record.value)
+        if layout is None:
+            log.error("layout_unreadable offset=%d", record.offset)
+            return
+        self._follow_layout(record.offset, layout)
+
+    def _follow_layout(self, offset: int, layout: Layout) -> None:
+        if offset <= self._board.layout_offset:
+            return
+        home = self._board.home
+        self._board.set_layout(offset, layout)
+        if self._board.home == home:
+            return
+        self._cells_new_until = self._loop.time() + CELLS_NEW_S
+        self.election.close()
+        self._close_owner()
+        self._domains = DomainWatch(me=self.me)
+        self.election = self._make_election(at_once=True)
+        self.desk.bring_home()
+        self.desk.note_unsent(self._directory.withdraw_jobs(owners=()))
+        # Other cells may have claimed before this entry heard of the layout.
+        for key in list(self._claims_feed.records_by_key):
+            claimed = self._claims_feed.records_by_key[key]
+            if key.partition("/")[0] == OWNER_KEY:
+                self._note_claim(claimed)
+
+    def _make_election(self, *, at_once: bool) -> Election:
+        return Election(
+            me=self.me, store=self._store, observer=self, cell=self._board.home, at_once=at_once
+        )
+
+    async def _tend_layout_forever(self) -> None:
+        while True:
+            await asyncio.sleep(LOOK_S)
+            first = self._board.layout.cells[0] == self._board.home
+            if self._owner is None or self._owner.domain is not None or self.leaving or not first:
+                continue
+            due = self._layouts.is_due(
+                entries=self._directory.entries_by_name.values(),
+                workers=self._listing.listed_by_id.values(),
+            )
+            if due:
+                await self._layouts.change()
+
     def _note_entry(self, key: str, value: bytes) -> None:
         try:
             self._directory.note(msgspec.json.decode(value, type=EntryInfo))
@@ -267,6 +397,8 @@
         return Receipt(
             receiver=self.me,
             fence=self.election.fence,
+            cell=self._board.home.name,
+            layout_offset=self._board.layout_offset,
             owner_silence_s=self.election.unheard_s(),
             leaving=self.leaving or self._slowness.rests(self._loop.time()),
             version=self.configuration_version(),
@@ -283,11 +415,32 @@
         elif isinstance(message, Cancel):
             if self._owner is not None:
                 self._owner.jobs.cancel(message.job, entry=sender.name)
+        elif isinstance(message, CellReport):
+            self._board.note_report(message)
+        elif isinstance(message, LayoutNotice):
+            self._follow_layout(message.offset, message.layout)
         elif isinstance(message, Beat):
-            self.election.note_beat(message)
-            if self._owner is None and message.fence >= self.election.fence:
-                self._domains.note_beat(message)
-            self.pending_by_route = message.pending
+            self._take_beat(message)
+
+    def _take_beat(self, beat: Beat) -> None:
+        self.election.note_beat(beat)
+        if beat.cell != self._board.home.name:
+            return
+        if self._owner is None and beat.fence >= self.election.fence:
+            self._domains.note_beat(beat)
+        for report in beat.reports:
+            if report.cell == beat.cell:
+                self._board.note_owner(report.cell, beat.owner, report.fence)
+            self._board.note_report(report)
+        self._home_pending = beat.pending
+
+    @property
+    def pending_by_route(self) -> dict[str, int]:
+        """By route, how many jobs of all cells have no task started, as far as known."""
+        counts = self._board.pending_by_route()
+        for route, count in self._home_pending.items():
+            counts[route] = counts.get(route, 0) + count
+        return counts
 
     def _take_job(self, entry: str, message: Submit) -> None:
         if self._owner is None:
@@ -310,7 +463,12 @@
         """Take note of an acknowledgement."""
         if receipt.receiver.incarnation != link.peer.incarnation:
             self._directory.note(receipt.receiver)
-        self.election.note_receipt(receipt)
+        if receipt.layout_offset < self._board.layout_offset:
+            # It has just started, and can't read the store.
+            layout, offset = self._board.layout, self._board.layout_offset
+            link.send(LayoutNotice(layout=layout, offset=offset))
+        if receipt.cell == self._board.home.name:
+            self.election.note_receipt(receipt)
         if receipt.late:
             self.desk.hand_again(after_s=0)
         self.configurations.note_version(receipt.receiver, receipt.version)
@@ -325,7 +483,7 @@
 
     def fresh_receipts(self, age_s: float) -> list[Receipt]:
         """Return the acknowledgements of other entries that are younger than an age."""
-        return self._directory.fresh_receipts(age_s)
+        return self._directory.fresh_receipts(self._board.home.name, age_s)
 
     # -- the owner's part -------------------------------------------------------------------
 
@@ -334,12 +492,12 @@
         self._slowness.end_term(self._loop.time())
         self._close_owner()
         self._directory.note(owner)
-        self.desk.note_unsent(self._directory.withdraw_jobs(owner=owner.name))
+        self.desk.note_unsent(self._directory.withdraw_jobs(owners=self._owner_names()))
         self._directory.link(owner).send(Hello())
 
     def on_owner_heard(self) -> None:
         """Hand all waiting jobs over."""
-        self.desk.hand_over()
+        self.desk.hand_over(self._board.home.name)
 
     def on_elected(self, fence: int, domain: str) -> None:
         """Be the owner, or the stand-in for a failure domain."""
@@ -358,14 +516,16 @@
                 limits=self._limits,
                 metrics=self._metrics,
                 cores=self.me.cores,
+                covers=lambda info: self._board.covers(info.zone, info.id),
+                adopt_first=self._loop.time() < self._cells_new_until,
             )
         self._workers_feed.pause_s = WORKERS_PAUSE_OWNER_S
         self._workers_feed.read_soon()
         self._owner.set_workers(self._listing.listed_by_id)
         self._owner.expect_workers(self._listing.lapsed_lately())
-        self.desk.note_unsent(self._directory.withdraw_jobs(owner=self.me.name))
+        self.desk.note_unsent(self._directory.withdraw_jobs(owners=self._owner_names()))
         self._send_beats()
-        self.desk.hand_over()
+        self.desk.hand_over(self._board.home.name)
 
     def _close_owner(self) -> None:
         if self._owner is not None:
@@ -395,16 +555,16 @@
         self._tasks.spawn(self._resolve_fenced())
 
     async def _resolve_fenced(self) -> None:
-        fence = self.election.fence
+        election, fence = self.election, self.election.fence
         try:
-            page = await self._store.newest(Topic.ENTRIES)
+            page = await self._store.newest(Topic.CLAIMS)
         except StoreUnavailableError as error:
             log.warning('owner_unknown error="%s"', error)
             await asyncio.sleep(CLAIM_CHECK_S)
         else:
-            for record in page.records:
-                if record.key == OWNER_KEY:
-                    self.election.note_claim(record.offset, decode_claim(record.value))
+            election.note_records(page.records)
+        if self.election is not election:
+            return
         if self._owner is None or self.election.fence != fence:
             return
         if self._owner.domain is not None:
@@ -422,6 +582,16 @@
                 self._watch_slowness(due_at)
                 self._send_beats()
                 self._drop_jobs_out_of_reach()
+            elif self.election.owner is not None and self.election.silence_s() > SUSPECT_S:
+                self._turn_elsewhere(self.election.owner)
+
+    def _turn_elsewhere(self, owner: EntryInfo) -> None:
+        """Let other cells have the jobs that have not left for an owner that is silent.
+
+        They would wait for the end of the take-over, half a second, and be late.
+        """
+        if self._board.other_cells():
+            self.desk.note_unsent(self._directory.withdraw_unsent(owner.name))
 
     def _watch_slowness(self, due_at: float) -> None:
         now = self._loop.time()
@@ -432,6 +602,8 @@
             log.warning("too_slow_to_own late_ms=%d", (now - due_at) * 1000)
 
     def _send_beats(self) -> None:
+        self._beats += 1
+        reports = self._report() if self._beats % REPORT_BEATS == 0 else []
         beat = Beat(
             fence=self._owner.fence,
             owner=self.me,
@@ -440,16 +612,56 @@
             complete_s=self._domains.complete_s(),
             leaving=self.leaving or self._slowness.hands_over,
             pending=self._owner.jobs.pending_by_route(),
+            cell=self._board.home.name,
+            reports=reports,
         )
-        self.pending_by_route = beat.pending
+        self._home_pending = beat.pending
         for link in self._directory.idle_links():
             link.send(beat)
 
+    def _report(self) -> list[CellReport]:
+        """Tell other cells how this one stands; return what the own entries are to know.
+
+        A cell alone has nobody to send its jobs to, so nothing is said of it.
+        """
+        others = self._board.other_cells()
+        if not others or self._owner.domain is not None:
+            return []
+        room = self._owner.room()
+        report = CellReport(
+            cell=self._board.home.name,
+            fence=self._owner.fence,
+            free_cpu=room.free_cpu,
+            backlog_s=room.backlog_s,
+            pending=self._owner.jobs.pending_by_route(),
+        )
+        self._board.note_owner(report.cell, self.me, report.fence)
+        self._board.note_report(report)
+        for entry in self._neighbours() + self._guests():
+            link = self._directory.link(entry)
+            if link.is_idle():
+                link.send(report)
+        return [report, *self._board.fresh_reports()]
+
+    def _neighbours(self) -> list[EntryInfo]:
+        """Return the owners of the cells that follow this one in the layout."""
+        cells = self._board.layout.cells
+        place = cells.index(self._board.home)
+        following = (cells[place + 1 :] + cells[:place])[:REPORTED_CELLS]
+        owners = [self._board.owner_of(cell.name) for cell in following]
+        return [owner for owner in owners if owner is not None]
+
+    def _guests(self) -> list[EntryInfo]:
+        """Return the entries of other cells whose jobs are here; they must hear this owner."""
+        if not self._board.other_cells():
+            return []
+        entries = [self._directory.entries_by_name.get(name) for name in self._owner.guests()]
+        return [e for e in entries if e and not self._board.covers(e.zone, e.name)]
+
     def hears_all_domains(self) -> bool:
         """Return whether an entry of each failure domain answers, and has for a while."""
-        return self._domains.hears_all(
-            self._directory.entries_by_name.values(), self._directory.links_by_name.values()
-        )
+        links = self._directory.links_by_name.values()
+        return self._domains.hears_all(self._directory.fellows(), links)
 
     def _drop_jobs_out_of_reach(self) -> None:
         """Stop the jobs of entries that can't be heard because of a partition, or may be dead.
@@ -457,14 +669,18 @@
         While failure domains are cut off from each other, the callers of an entry that dies may
         send their jobs again to the other side, which would run them a second time.
         """
-        entries = self._directory.entries_by_name.values()
+        entries = self._directory.fellows()
         links_by_name = self._directory.links_by_name
+        lost = {name for name, link in links_by_name.items() if link.silence_s() > ENTRY_LOST_S}
+        if self._board.other_cells():
+            # The caller of an entry that died may send its job again to any cell, which would run
+            # it a second time beside this one.
+            self._owner.jobs.drop_jobs_of(lost, reason="entry lost")
         cut_off = self._domains.find_cut_off(entries, links_by_name)
         if not cut_off and self._owner.domain is None:
             return
         outside = {entry.name for entry in entries if entry.zone in cut_off}
         self._owner.jobs.drop_jobs_of(outside, reason="failure domain cut off")
-        lost = {name for name, link in links_by_name.items() if link.silence_s() > ENTRY_LOST_S}
         self._owner.jobs.drop_jobs_of(outside | lost, reason="entry lost during a partition")
 
     async def _show_life_forever(self) -> None:
@@ -473,36 +689,53 @@
             await asyncio.sleep(LIVENESS_S)
             if self._owner is None or self._owner.domain is not None:
                 continue
+            key = self._board.home.claim_key()
             try:
-                await self._store.append(Topic.LIVENESS, key=OWNER_KEY, value=self.me.name.encode())
+                await self._store.append(Topic.LIVENESS, key=key, value=self.me.name.encode())
             except StoreUnavailableError as error:
                 log.info('liveness_not_shown error="%s"', error)
 
     # -- the way to the owner, for callers --------------------------------------------------
 
-    def fence(self) -> int:
-        """Return the fencing token of the owner, 0 if none has been heard.
+    def home(self) -> str:
+        """Return the name of the own cell."""
+        return self._board.home.name
+
+    def choose_cell(self, request: JobRequest, *, refused_by: Collection[str]) -> str | None:
+        """Return the cell that a job should go to, None if all that would take it refused it."""
+        if not self._board.other_cells():
+            return None if refused_by else self.home()
+        heard = self.election.owner is not None and self.election.has_heard_owner()
+        silence_s = self.election.silence_s() if heard else math.inf
+        return self._board.choose(request, home_silence_s=silence_s, refused_by=refused_by)
+
+    def fence(self, cell: str) -> int:
+        """Return the fencing token of a cell's owner, 0 if none has been heard.
 
         A record in the store may name a process that is no more. A job that was handed to it would
         count as possibly started, and wait for 1.4 s under the next owner.
         """
+        if cell != self.home():
+            return self._board.fence_of(cell)
         known = self.election.owner is not None and self.election.has_heard_owner()
         return self.election.fence if known else 0
 
-    def silence_s(self) -> float:
-        """Return for how long no owner was heard."""
+    def silence_s(self, cell: str) -> float:
+        """Return for how long no owner of a cell was heard."""
+        if cell != self.home():
+            return self._board.silence_s(cell)
         return self.election.silence_s()
 
-    def submit(self, message: Submit) -> None:
-        """Hand a job to the owner."""
-        self._to_owner(message)
+    def submit(self, cell: str, message: Submit) -> None:
+        """Hand a job to the owner of a cell."""
+        self._to_owner(cell, message)
 
-    def cancel(self, message: Cancel) -> None:
-        """Tell the owner that nobody waits for a job."""
-        self._to_owner(message)
+    def cancel(self, cell: str, message: Cancel) -> None:
+        """Tell the owner of a cell that nobody waits for a job."""
+        self._to_owner(cell, message)
 
-    def _to_owner(self, message: Message) -> None:
-        owner = self.election.owner
+    def _to_owner(self, cell: str, message: Message) -> None:
+        owner = self.election.owner if cell == self.home() else self._board.owner_of(cell)
         if owner is None:
             return
         if owner.incarnation == self.me.incarnation:
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -1,10 +1,11 @@
-"""The owner of the pool: takes jobs in, places their tasks, and tells how they ended."""
+"""The owner of a cell: takes jobs in, places their tasks, and tells how they ended."""
 
 from __future__ import annotations
 
 import abc
 import asyncio
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass
 from time import perf_counter
 
@@ -39,6 +40,8 @@
 # they run. A job that a caller has sent again looks like any other, and its runs, which the last
 # owner began, may be on a worker that answers a few milliseconds after the others.
 OPENING_S = 0.06
+# Stands for the backlog of an owner without workers, in seconds.
+NO_WORKERS_S = 3600.0
 # How often waiting jobs are looked at for having waited too long, in seconds.
 REVIEW_S = 0.02
 
@@ -51,6 +54,18 @@
     complete: bool = False
 
 
+@dataclass(slots=True, frozen=True, kw_only=True)
+class Room:
+    """How an owner's workers stand.
+
+    :param free_cpu: thousandths of a core where a usual task fits.
+    :param backlog_s: seconds that the workers need for what waits.
+    """
+
+    free_cpu: int
+    backlog_s: float
+
+
 class OwnerListener(abc.ABC):
     """What an owner tells the entry that runs it."""
 
@@ -76,6 +91,9 @@
 
     :param domain: only workers of this failure domain, or all if None. An entry that stands in
         for an owner behind a partition takes just its own.
+    :param covers: tells which workers belong to the cell.
+    :param adopt_first: owners of other cells may count on the lapsing of runs that nobody here
+        claims, so these are not extended.
     :param cores: processor that this entry may use.
     """
 
@@ -89,9 +107,14 @@
         limits: Limits,
         metrics: Metrics,
         cores: float = 1.0,
+        covers: Callable[[WorkerInfo], bool] = lambda info: True,
+        adopt_first: bool = False,
     ) -> None:
         self._metrics = metrics
         self._cores = cores
+        self._covers = covers
+        self._adopt_first = adopt_first or domain is not None
+        self._usual_cpu = 1
         self.fence = fence
         self.domain = domain
         self.jobs = JobBook(
@@ -103,7 +126,7 @@
         self._ended_elsewhere: dict[TaskId, EndKind] = {}
         self._loop = asyncio.get_running_loop()
         self._losses = LossWatch()
-        self._workers = WorkerSet(domain=domain, make_session=self._make_session)
+        self._workers = WorkerSet(serves=self._serves, make_session=self._make_session)
         self._sight = Sight()
         self._runs = RunIndex()
         self._run_times = JobRunTimes()
@@ -147,6 +170,7 @@
         """
         self.fence = fence
         self.domain = None
+        self._adopt_first = False
         self._workers.extend(fence)
         self.resume()
 
@@ -169,9 +193,12 @@
             fence=self.fence,
             limits=self._limits,
             losses=self._losses,
-            adopt_first=self.domain is not None,
+            adopt_first=self._adopt_first,
         )
 
+    def _serves(self, info: WorkerInfo) -> bool:
+        return self.domain in (None, info.zone) and self._covers(info)
+
     def _may_begin(self, now: float) -> bool:
         """Return whether tasks may be started yet; see `OPENING_S`."""
         return now - self._opened_at >= OPENING_S or self._workers.all_asked()
@@ -222,6 +249,7 @@
             return
         for step, index in done:
             self._note_done(job, TaskId(request.id, step, index))
+        self._usual_cpu = max(job.smallest_cpu, 1)
         self._claim_runs(job)
         self._overload.note_job(job, self._loop.time())
         log.info(
@@ -238,6 +266,20 @@
             return
         self._wait_for_room(job)
 
+    def room(self) -> Room:
+        """Return what the workers have free, and how long they need for what waits."""
+        sessions = self._workers.sessions_by_id.values()
+        now = self._loop.time()
+        usual = self._usual_cpu
+        free = sum(s.free_cpu // usual * usual for s in sessions if s.can_start(now))
+        usable = sum(s.info.cpu for s in sessions if s.can_serve(now))
+        waiting = sum(job.waiting_work() for job in self._scheduler.queue)
+        return Room(free_cpu=max(free, 0), backlog_s=waiting / usable if usable else NO_WORKERS_S)
+
+    def guests(self) -> set[str]:
+        """Return the names of all entries that wait for jobs of this owner."""
+        return {name for job in self.jobs.jobs_by_id.values() for name in job.waiting_for}
+
     def gauges(self) -> dict[str, float]:
         """Return what this owner believes now."""
         sessions = self._workers.sessions_by_id.values()
--- a/zincwell/dispatch/_peers.py
+++ b/zincwell/dispatch/_peers.py
@@ -106,6 +106,21 @@
             self.send(Cancel(job=job_id))
         return queued - sent
 
+    def withdraw_unsent(self) -> set[str]:
+        """Take back the jobs that were never sent, and return their ids."""
+        sent = {message.job.id for message in self._under_way if isinstance(message, Submit)}
+        unsent = {
+            message.job.id
+            for message in self._queue
+            if isinstance(message, Submit) and message.job.id not in sent
+        }
+        self._queue = [
+            message
+            for message in self._queue
+            if not (isinstance(message, Submit) and message.job.id in unsent)
+        ]
+        return unsent
+
     def _withdraw(self, cancel: Cancel) -> None:
         """Put a job's cancellation in the place of the job.
 
--- a/zincwell/dispatch/_workers.py
+++ b/zincwell/dispatch/_workers.py
@@ -15,15 +15,18 @@
 class WorkerSet:
     """Opens and closes sessions with workers as the platform lists them.
 
-    :param domain: only workers of this failure domain, or all if None.
+    :param serves: tells which workers the owner has.
     :param make_session: makes a session, not yet open, for a worker.
     """
 
     def __init__(
-        self, *, domain: str | None, make_session: Callable[[WorkerInfo], WorkerSession]
+        self,
+        *,
+        serves: Callable[[WorkerInfo], bool],
+        make_session: Callable[[WorkerInfo], WorkerSession],
     ) -> None:
         self.sessions_by_id: dict[str, WorkerSession] = {}
-        self.domain = domain
+        self._serves = serves
         # Rises with each change, so that what was found out about all workers can be kept.
         self.version = 0
         self._make_session = make_session
@@ -38,7 +41,7 @@
         """Take over the platform's list."""
         self.version += 1
         for worker_id, info in infos.items():
-            if self.domain is not None and info.zone != self.domain:
+            if not self._serves(info):
                 continue
             session = self.sessions_by_id.get(worker_id)
             if session is None:
@@ -56,12 +59,11 @@
     def expect(self, infos: Iterable[WorkerInfo]) -> None:
         """Hold workers that are not listed any more, if they still answer."""
         for info in infos:
-            if info.id not in self.sessions_by_id and self.domain in (None, info.zone):
+            if info.id not in self.sessions_by_id and self._serves(info):
                 self._open(info).set_listed(False)
 
     def extend(self, fence: int) -> None:
-        """Hold workers of all failure domains from now on, under a higher fencing token."""
-        self.domain = None
+        """Hold all workers under a higher fencing token from now on."""
         for session in self.sessions_by_id.values():
             session.raise_fence(fence)
 
--- a/zincwell/dispatch/decisions/__init__.py
+++ b/zincwell/dispatch/decisions/__init__.py
@@ -11,6 +11,7 @@
     judge_behind,
     judge_in_order,
 )
+from zincwell.dispatch.decisions._cells import CellShape, DomainSize, plan_cells
 from zincwell.dispatch.decisions._forecast import Demand, FreeCores, Projection, Replay
 from zincwell.dispatch.decisions._load import OfferedLoad
 from zincwell.dispatch.decisions._patience import MAX_PATIENCE_S, AnswerTimes
@@ -21,6 +22,12 @@
     least_wait_s,
 )
 from zincwell.dispatch.decisions._runtimes import SLOW_WORKER, RunTimes
+from zincwell.dispatch.decisions._spread import (
+    SUSPECT_S,
+    CellState,
+    choose_other_cell,
+    is_served_at_home,
+)
 from zincwell.dispatch.decisions._stragglers import (
     MIN_PERCENT,
     is_slow_run,
@@ -34,8 +41,12 @@
     "MIN_PERCENT",
     "OWN_LATENESS_S",
     "SLOW_WORKER",
+    "SUSPECT_S",
     "AnswerTimes",
+    "CellShape",
+    "CellState",
     "Demand",
+    "DomainSize",
     "FreeCores",
     "LossWatch",
     "OfferedLoad",
@@ -43,9 +54,11 @@
     "Prospect",
     "Replay",
     "RunTimes",
+    "choose_other_cell",
     "choose_retry_s",
     "choose_wait_s",
     "count_waves",
+    "is_served_at_home",
     "is_slow_run",
     "is_slow_worker",
     "is_stalled",
@@ -53,4 +66,5 @@
     "judge_in_order",
     "least_wait_s",
     "pays_to_move",
+    "plan_cells",
 ]
--- a/zincwell/dispatch/ports.py
+++ b/zincwell/dispatch/ports.py
@@ -45,6 +45,7 @@
 
     CONFIGURATION = enum.auto()
     WORKERS = enum.auto()
+    CLAIMS = enum.auto()
     ENTRIES = enum.auto()
     LIVENESS = enum.auto()
 
--- a/zincwell/platform/_store.py
+++ b/zincwell/platform/_store.py
@@ -28,7 +28,9 @@
 TOPIC_NAMES = {
     Topic.CONFIGURATION: "keyed.op",
     Topic.WORKERS: "keyed.servers",
-    Topic.ENTRIES: "keyed.zincwell",
+    # Fencing tokens are made from offsets in this topic, so it must never be begun anew.
+    Topic.CLAIMS: "keyed.zincwell",
+    Topic.ENTRIES: "keyed.zincwell-entries",
     Topic.LIVENESS: "keyed.zincwell-liveness",
 }
 CONFIGURATION_KEY = "config"
