--- a/zincwell/dispatch/_cells.py
+++ b/zincwell/dispatch/_cells.py
@@ -8,10 +8,12 @@
 from __future__ import annotations
 
 import zlib
+from collections.abc import Iterable
 
 import msgspec
 from msgspec import Struct
 
+from zincwell.dispatch._types import EntryInfo
 from zincwell.dispatch.decisions import CellShape
 
 LAYOUT_KEY = "layout"
@@ -24,13 +26,18 @@
     :param name: differs from the names of all cells of earlier layouts; empty for the cell of a
         pool that was never divided.
     :param domains: its failure domains; empty for all.
-    :param part: number of the part, if the domain is split into parts.
+    :param part: number of the part, if the domain is split into parts. Workers belong to parts by
+        a hash of their ids.
+    :param entries: names of the entries of a part. By a hash all strong ones could come to the same
+        part, and another would have an owner that can't carry it; one that is not named anywhere
+        goes by its hash.
     """
 
     name: str = ""
     domains: list[str] = []
     part: int = 0
     parts: int = 1
+    entries: list[str] = []
 
     def claim_key(self) -> str:
         """Return the key of the claims of this cell in the store."""
@@ -50,10 +57,10 @@
 
     def cell_of(self, domain: str, name: str) -> Cell:
         """Return the cell of a worker or entry; the first for a domain that has none yet."""
-        for cell in self.cells:
-            if cell.covers(domain, name):
-                return cell
-        return self.cells[0]
+        named = next((cell for cell in self.cells if name in cell.entries), None)
+        if named is not None:
+            return named
+        return next((cell for cell in self.cells if cell.covers(domain, name)), self.cells[0])
 
     def shapes(self) -> list[CellShape]:
         """Return the shapes of the cells; parts of one domain count as one shape."""
@@ -68,18 +75,29 @@
 UNDIVIDED = Layout(cells=[WHOLE_POOL])
 
 
-def make_layout(shapes: list[CellShape], *, mark: str, before: Layout) -> Layout:
+def make_layout(
+    shapes: list[CellShape], *, mark: str, before: Layout, entries: Iterable[EntryInfo]
+) -> Layout:
     """Return a layout of these shapes; cells that stay as they are keep their names.
 
     :param mark: differs from the marks of all other layouts.
+    :param entries: all entries, to be shared out to the parts of a domain by strength.
     """
     by_place = {(tuple(c.domains), c.part, c.parts): c for c in before.cells}
+    ranked = sorted(entries, key=lambda entry: (-entry.cores, entry.name))
     cells = []
     for shape in shapes:
         for part in range(shape.parts):
             place = (shape.domains, part, shape.parts)
             name = f"{'+'.join(shape.domains)}.{part}.{mark}"
-            made = Cell(name=name, domains=list(shape.domains), part=part, parts=shape.parts)
+            inside = [entry.name for entry in ranked if entry.zone in shape.domains]
+            made = Cell(
+                name=name,
+                domains=list(shape.domains),
+                part=part,
+                parts=shape.parts,
+                entries=inside[part :: shape.parts] if shape.parts > 1 else [],
+            )
             cells.append(by_place.get(place, made))
     return Layout(cells=cells)
 
--- a/zincwell/dispatch/_layout_keeper.py
+++ b/zincwell/dispatch/_layout_keeper.py
@@ -46,11 +46,13 @@
         self._on_layout = on_layout
         self._loop = asyncio.get_running_loop()
         self._plan: list[CellShape] = []
+        self._entries: list[EntryInfo] = []
         self._planned_at = 0.0
 
     def is_due(self, *, entries: Iterable[EntryInfo], workers: Iterable[WorkerInfo]) -> bool:
         """Return whether another layout has been the better one for long enough."""
-        domains = count_domains(entries, workers)
+        self._entries = list(entries)
+        domains = count_domains(self._entries, workers)
         current = self._current(domains)
         plan = list(plan_cells(domains, current)) if domains else current
         now = self._loop.time()
@@ -73,7 +75,10 @@
         """Write the planned layout, unless somebody has written to the log meanwhile."""
         known = self._board.layout_offset
         layout = make_layout(
-            self._plan, mark=f"{self._me.incarnation[-6:]}-{known + 1}", before=self._board.layout
+            self._plan,
+            mark=f"{self._me.incarnation[-6:]}-{known + 1}",
+            before=self._board.layout,
+            entries=self._entries,
         )
         value = msgspec.json.encode(layout)
         try:
