Order the lives of an entry by their registrations, not by the time of day

Cause: a process told others when it began, by the time of day. Ruled out: the steady clock, which begins anew when a VM loses power.

Change: the place of its registration in the store orders an entry's lives; while it is not known, a life that was not replaced before counts as new, and an entry that is only named takes no place.

--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -280,7 +280,6 @@
             address=name,
             zone=zone,
             incarnation=f"{name}-{life}",
-            started_at=self.loop.time() + life,
             cores=cores,
         )
         node = Node(
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -16,7 +16,7 @@
 
 pytestmark = pytest.mark.looptime
 
-ME = EntryInfo(name="me", address="me", zone="a", incarnation="me-0")
+ME = EntryInfo(registered=1, name="me", address="me", zone="a", incarnation="me-0")
 OTHER = EntryInfo(name="other", address="other", zone="a", incarnation="other-0")
 
 
--- a/zincwell/dispatch/_directory.py
+++ b/zincwell/dispatch/_directory.py
@@ -41,6 +41,7 @@
         self.entries_by_name: dict[str, EntryInfo] = {me.name: me}
         self.links_by_name: dict[str, PeerLink] = {}
         self._me = me
+        self._past_by_name: dict[str, set[str]] = {}
         self._client = client
         self._observer = observer
         self._clock = clock
@@ -52,13 +53,46 @@
         for link in self.links_by_name.values():
             link.close()
 
-    def note(self, entry: EntryInfo) -> None:
-        """Take note of an entry, or of a new life of it."""
+    def register(self, me: EntryInfo) -> None:
+        """Take note of where this entry's registration stands."""
+        self._me = self.entries_by_name[me.name] = me
+        for link in self.links_by_name.values():
+            link.me = me
+
+    def note(self, entry: EntryInfo, *, named: bool = False) -> None:
+        """Take note of an entry, or of a new life of it.
+
+        Lives are ordered by their registrations in the store. One that is not known to be
+        registered counts as new unless another took its place before.
+
+        :param named: it was only named by somebody, and may be gone.
+        """
         if entry.name == self._me.name:
             return
         known = self.entries_by_name.get(entry.name)
-        if known is not None and known.started_at >= entry.started_at:
-            return
+        if known is None:
+            self._set(entry)
+        elif known.incarnation == entry.incarnation:
+            if entry.registered > known.registered:
+                self.entries_by_name[entry.name] = entry
+        elif self._replaces(entry, known, named):
+            self._past_by_name.setdefault(entry.name, set()).add(known.incarnation)
+            self._set(entry)
+
+    def _replaces(self, entry: EntryInfo, known: EntryInfo, named: bool) -> bool:
+        if entry.registered >= 0 and known.registered >= 0:
+            return entry.is_later_life(known)
+        return not named and entry.incarnation not in self._past_by_name.get(entry.name, ())
+
+    def is_past(self, entry: EntryInfo) -> bool:
+        """Return whether a later life of an entry is known."""
+        known = self.entries_by_name.get(entry.name)
+        if known is None or known.incarnation == entry.incarnation:
+            return False
+        past = entry.incarnation in self._past_by_name.get(entry.name, ())
+        return past or known.is_later_life(entry)
+
+    def _set(self, entry: EntryInfo) -> None:
         log.info("entry_seen entry=%s address=%s", entry.name, entry.address)
         self.entries_by_name[entry.name] = entry
         link = self.links_by_name.pop(entry.name, None)
--- a/zincwell/dispatch/_election.py
+++ b/zincwell/dispatch/_election.py
@@ -130,7 +130,7 @@
         self.owner_leaving = False
         self.leaving = False
         self.reclaim = False
-        self._me = me
+        self.me = me
         self._store = store
         self._observer = observer
         self._loop = asyncio.get_running_loop()
@@ -173,7 +173,7 @@
 
     def is_owner(self) -> bool:
         """Return whether this entry is the owner or a stand-in."""
-        return self.owner is not None and self.owner.incarnation == self._me.incarnation
+        return self.owner is not None and self.owner.incarnation == self.me.incarnation
 
     # -- what is heard ----------------------------------------------------------------------
 
@@ -187,26 +187,23 @@
         if fence <= self.fence:
             return
         self._stand_in_round = 0
-        if claim.owner.incarnation == self._me.incarnation:
+        if claim.owner.incarnation == self.me.incarnation:
             self._become(fence, "")
         else:
             self._follow(claim.owner, fence, "")
 
-    def note_life(self, entry: EntryInfo) -> None:
-        """Take note of a life of an entry; a later one of the owner's VM proves the owner gone.
+    def note_owner_gone(self) -> None:
+        """Take note that a later life of the owner's VM is known, so the owner is gone.
 
         After a restart of all VMs the newest claim names a process that is no more. Waiting for
         it as for an owner that is just silent took 0.42 s, in which no job was served.
         """
         owner = self.owner
-        if owner is None or self.is_owner() or entry.name != owner.name:
+        if owner is None or self.is_owner() or self._gone == owner.incarnation:
             return
-        if self._gone == owner.incarnation or entry.incarnation == owner.incarnation:
-            return
-        if entry.started_at > owner.started_at:
-            log.info("owner_gone owner=%s incarnation=%s", owner.name, owner.incarnation)
-            self._gone = owner.incarnation
-            self._heard_at = min(self._heard_at, self._loop.time() - SILENCE_S)
+        log.info("owner_gone owner=%s incarnation=%s", owner.name, owner.incarnation)
+        self._gone = owner.incarnation
+        self._heard_at = min(self._heard_at, self._loop.time() - SILENCE_S)
 
     def note_beat(self, beat: Beat) -> None:
         """Take note of an owner's heartbeat."""
@@ -214,12 +211,12 @@
             # Sent under another layout, which one side has not heard of yet.
             return
         now = self._loop.time()
-        if beat.domain and beat.domain != self._me.zone:
+        if beat.domain and beat.domain != self.me.zone:
             # A stand-in of another failure domain: the owner has to claim anew to get it back.
             if self.is_owner() and beat.fence > self.fence:
                 self.reclaim = True
             return
-        if beat.owner.incarnation == self._me.incarnation:
+        if beat.owner.incarnation == self.me.incarnation:
             return
         if beat.fence < self.fence:
             self._other_owner_heard_at = now
@@ -253,8 +250,6 @@
             return
         if receipt.receiver.incarnation == owner.incarnation and receipt.fence == self.fence:
             self._note_sign()
-            return
-        self.note_life(receipt.receiver)
 
     def _note_sign(self) -> None:
         """Take note of a sign of life of the owner."""
@@ -283,7 +278,7 @@
 
     def _become(self, fence: int, domain: str) -> None:
         log.info("owner_elected fence=%d domain=%s", fence, domain)
-        self.owner, self.fence, self.domain = self._me, fence, domain
+        self.owner, self.fence, self.domain = self.me, fence, domain
         self.owner_leaving = False
         self.reclaim = False
         self._observer.on_elected(fence, domain)
@@ -346,11 +341,11 @@
 
     def _rank(self) -> int:
         """Return this entry's place among those that may take over."""
-        if self._me.name in self.successors:
-            return min(self.successors.index(self._me.name), MAX_RANK)
+        if self.me.name in self.successors:
+            return min(self.successors.index(self.me.name), MAX_RANK)
         entries = sorted(self._observer.known_entries(), key=EntryInfo.rank_as_owner)
         names = [entry.name for entry in entries]
-        place = names.index(self._me.name) if self._me.name in names else len(names)
+        place = names.index(self.me.name) if self.me.name in names else len(names)
         return min(place + len(self.successors), MAX_RANK)
 
     async def _may_claim(self, silence_s: float) -> bool:
@@ -407,8 +402,8 @@
     def _can_stand_in(self) -> bool:
         if self._claim is None or self._stand_in_round >= STAND_IN_ROUNDS:
             return False
-        members = [member for member in self._claim.members if member.zone == self._me.zone]
-        if self._me.incarnation not in [member.incarnation for member in members]:
+        members = [member for member in self._claim.members if member.zone == self.me.zone]
+        if self.me.incarnation not in [member.incarnation for member in members]:
             return False
         if self._is_owner_heard():
             return False
@@ -418,10 +413,10 @@
 
     def _stand_in(self) -> None:
         incarnations = [member.incarnation for member in self._claim.members]
-        place = incarnations.index(self._me.incarnation) + 1
+        place = incarnations.index(self.me.incarnation) + 1
         place += self._stand_in_round * (len(incarnations) + 1)
         if place < FENCES_PER_CLAIM:
-            self._become(make_fence(self._claim_offset, place), self._me.zone)
+            self._become(make_fence(self._claim_offset, place), self.me.zone)
 
     async def _claim_pool(self) -> None:
         """Try to append a claim, and follow whatever claim is the newest.
@@ -441,7 +436,11 @@
 
         :param known: offset of the newest claim of this cell when the decision was made.
         """
-        claim = OwnerClaim(owner=self._me, members=self._observer.known_entries())
+        if self.me.registered < 0:
+            # The claim tells by the registration which life of this VM owns the cell. While that
+            # has not come through, a claim would not either.
+            return False
+        claim = OwnerClaim(owner=self.me, members=self._observer.known_entries())
         try:
             page = await self._store.newest(Topic.CLAIMS)
             self._store_failed = False
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -276,7 +276,7 @@
         for key in keys:
             record = self._entries_feed.records_by_key.get(key)
             if record is not None:
-                self._note_entry(key, record.value)
+                self._note_entry(key, record)
         self._check_owner_life()
 
     def _on_claims(self, keys: set[str]) -> None:
@@ -299,7 +299,7 @@
             self.election.note_claim(record.offset, claim)
             return
         if self._board.note_owner(cell, claim.owner, make_fence(record.offset)):
-            self._directory.note(claim.owner)
+            self._directory.note(claim.owner, named=True)
             self.desk.note_unsent(self._directory.withdraw_jobs(owners=self._owner_names()))
             self.desk.hand_over(cell)
 
@@ -356,27 +356,32 @@
             if due:
                 await self._layouts.change()
 
-    def _note_entry(self, key: str, value: bytes) -> None:
+    def _note_entry(self, key: str, record: StoreRecord) -> None:
         try:
-            self._directory.note(msgspec.json.decode(value, type=EntryInfo))
+            entry = msgspec.json.decode(record.value, type=EntryInfo)
+            self._directory.note(msgspec.structs.replace(entry, registered=record.offset))
         except (msgspec.MsgspecError, UnicodeDecodeError) as error:
             log.error('entry_unreadable key=%s error="%s"', key, error)
 
     def _check_owner_life(self) -> None:
-        """Tell the election of the life that the owner's VM is in now."""
+        """Tell the election if a later life of the owner's VM is known."""
         owner = self.election.owner
-        if owner is not None and owner.name in self._directory.entries_by_name:
-            self.election.note_life(self._directory.entries_by_name[owner.name])
+        if owner is not None and self._directory.is_past(owner):
+            self.election.note_owner_gone()
 
     async def _register(self) -> None:
         value = msgspec.json.encode(self.me)
         while True:
             try:
-                await self._store.append(Topic.ENTRIES, key=f"entry/{self.me.name}", value=value)
-                return
+                key = f"entry/{self.me.name}"
+                place = await self._store.append(Topic.ENTRIES, key=key, value=value)
             except StoreUnavailableError as error:
                 log.warning('not_registered error="%s"', error)
                 await asyncio.sleep(BEAT_S)
+                continue
+            self.me = self.election.me = msgspec.structs.replace(self.me, registered=place)
+            self._directory.register(self.me)
+            return
 
     # -- other entries ----------------------------------------------------------------------
 
@@ -384,7 +389,7 @@
         """Handle an envelope of another entry."""
         self._directory.note(envelope.sender)
         self._directory.note_heard(envelope.sender.name)
-        self.election.note_life(envelope.sender)
+        self._check_owner_life()
         self.election.note_owner_alive(envelope.sender.incarnation, envelope.fence)
         late = self._inbox.is_late(envelope, now=self._clock())
         if self._inbox.is_new(envelope):
@@ -467,6 +472,7 @@
             # It has just started, and can't read the store.
             layout, offset = self._board.layout, self._board.layout_offset
             link.send(LayoutNotice(layout=layout, offset=offset))
+        self._check_owner_life()
         if receipt.cell == self._board.home.name:
             self.election.note_receipt(receipt)
         if receipt.late:
@@ -491,7 +497,7 @@
         """Follow another entry as owner."""
         self._slowness.end_term(self._loop.time())
         self._close_owner()
-        self._directory.note(owner)
+        self._directory.note(owner, named=True)
         self.desk.note_unsent(self._directory.withdraw_jobs(owners=self._owner_names()))
         self._directory.link(owner).send(Hello())
 
--- a/zincwell/dispatch/_peers.py
+++ b/zincwell/dispatch/_peers.py
@@ -74,7 +74,7 @@
         self.peer = peer
         self.last_receipt_at = -1e9
         self.last_receipt: Receipt | None = None
-        self._me = me
+        self.me = me
         self._client = client
         self._observer = observer
         self._queue: list[Message] = []
@@ -166,7 +166,7 @@
         failures = 0
         while True:
             envelope = Envelope(
-                sender=self._me,
+                sender=self.me,
                 sequence=sequence,
                 sent_at=self._clock(),
                 messages=self._under_way,
--- a/zincwell/dispatch/_types.py
+++ b/zincwell/dispatch/_types.py
@@ -175,7 +175,8 @@
     """One life of an entry.
 
     :param incarnation: differs between lives of the same VM.
-    :param started_at: seconds since 1970.
+    :param registered: place of its registration in the store's log, -1 while it is not known. A
+        later life has a higher one, whatever the time of day on its VM has done.
     :param cores: processor that it may use.
     """
 
@@ -183,7 +184,7 @@
     address: str
     zone: str
     incarnation: str
-    started_at: float = 0.0
+    registered: int = -1
     cores: float = 1.0
 
     def rank_as_owner(self) -> tuple[float, float, str]:
@@ -192,7 +193,12 @@
         An owner of 176 workers uses a whole core, so strong VMs come first. Among equals the one
         that started last does: when all VMs are restarted in turn, it stays longest.
         """
-        return (-self.cores, -self.started_at, self.name)
+        return (-self.cores, -self.registered, self.name)
+
+    def is_later_life(self, other: EntryInfo) -> bool:
+        """Return whether this is surely a later life of the same VM than another."""
+        known = self.registered >= 0 and other.registered >= 0
+        return known and self.registered > other.registered
 
 
 class OwnerClaim(Struct, frozen=True, kw_only=True):
--- a/zincwell/platform/_process.py
+++ b/zincwell/platform/_process.py
@@ -107,7 +107,6 @@
         address=settings.peers_advertised,
         zone=settings.zone,
         incarnation=uuid.uuid4().hex[:12],
-        started_at=time.time(),
         cores=settings.cores,
     )
     return Node(
