--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -25,6 +25,7 @@
     entries: int = 6,
     workers: int = 9,
     faults: int = 12,
+    cores: float = 1.0,
     kinds: str = "",
     logs: str = "",
     verbose: bool = False,
@@ -32,6 +33,7 @@
     """Play days and say what broke.
 
     :param first: seed of the first day; each next day has the next seed.
+    :param cores: processor that entries say they have; 0.05 divides the pool into cells.
     :param kinds: faults to draw from, with commas between, such as ``drain_entry,cut_zone``.
     :param logs: folder for the logs of the entries of days that broke something.
     """
@@ -44,6 +46,7 @@
             entries=entries,
             workers=workers,
             faults=faults,
+            cores=cores,
             kinds=tuple(kind for kind in kinds.split(",") if kind),
         )
         with tempfile.TemporaryDirectory(prefix="soak-") as name:
--- a/bench/soak/_day.py
+++ b/bench/soak/_day.py
@@ -21,6 +21,8 @@
 from bench.soak._worker import StandInWorker
 
 ZONES = ("a", "b", "c")
+# An owner divides the pool once it has been too large for this long, with some time to spare.
+DIVIDING_S = 5.0
 # Callers come before the faults do.
 WARM_UP_S = 1.0
 # Time to recover after the last fault; the machine that plays the day may be busy.
@@ -32,6 +34,8 @@
     """What to play.
 
     :param faults: how many faults come, one every 0 to 1.5 s.
+    :param cores: processor that the entries say they have; with 0.05 the workers of each zone are a
+        cell of their own.
     :param kinds: names of the methods of ``Faults`` to draw from; all if empty.
     """
 
@@ -39,6 +43,7 @@
     entries: int = 6
     workers: int = 9
     faults: int = 12
+    cores: float = 1.0
     kinds: tuple[str, ...] = ()
 
 
@@ -80,6 +85,8 @@
         try:
             await asyncio.gather(*(entry.start() for entry in self._entries))
             await self._expect_service(callers)
+            if self._plan.cores < 1:
+                await asyncio.sleep(DIVIDING_S)
             feeder = asyncio.create_task(callers.feed())
             await asyncio.sleep(WARM_UP_S)
             await self._make_faults().play(self._plan.faults)
@@ -109,6 +116,7 @@
                 zone=ZONES[number % len(ZONES)],
                 ip=f"{network}.{number + 1}",
                 folder=folder,
+                cores=self._plan.cores,
             )
             for number in range(self._plan.entries)
         ]
--- a/bench/soak/_entries.py
+++ b/bench/soak/_entries.py
@@ -18,6 +18,7 @@
 portRange={peers},{peers}
 advertise.peers=127.0.0.1:{advertised}
 platform.addr=127.0.0.1:{store}
+limits.cpuShare={cores}
 bounds.maxHoldMs=1000
 bounds.thawSlackMs=300
 bounds.graceS=6
@@ -36,12 +37,13 @@
 class EntryProcess:
     """An entry: one process after the other under the same name and addresses."""
 
-    def __init__(self, *, name: str, zone: str, ip: str, folder: Path) -> None:
+    def __init__(self, *, name: str, zone: str, ip: str, folder: Path, cores: float) -> None:
         self.name = name
         self.zone = zone
         self.ip = ip
         self.callers_port = free_port(ip)
         self.peers_port = free_port(ip)
+        self.cores = cores
         self.life = 0
         self.killed = False
         self.paused = False
@@ -60,6 +62,7 @@
             peers=self.peers_port,
             advertised=advertised,
             store=store,
+            cores=self.cores,
         )
         self._settings.write_text(text)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,6 +23,15 @@
     assert_that(result.answers_by_status["200"], GreaterThan(10))
 
 
+def test_a_short_day_of_several_cells_keeps_every_promise(tmp_path: Path):
+    # Each zone is a cell: jobs of one cell run in another while their own has no owner.
+    result = play_day(DayPlan(seed=2, entries=9, faults=8, cores=0.05), tmp_path)
+    assert_that(result.broken, Equals([]))
+    assert_that(result.answers_by_status["200"], GreaterThan(10))
+    followed = [path.read_text().count("layout_followed") for path in tmp_path.glob("*.log")]
+    assert_that(min(followed), GreaterThan(0))
+
+
 def test_entries_that_are_told_to_end_cut_no_request_off(tmp_path: Path):
     # Symptom: a page is lost during planned work. Sequence: callers keep using their connections
     # to entries that get SIGTERM, one after the other, until these are gone.
