--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -4,13 +4,13 @@
 
 import asyncio
 import logging
-import math
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 
 import msgspec
 
-from zincwell.dispatch._callers import CallerDesk, OwnerChannel
+from zincwell.dispatch._callers import CallerDesk
 from zincwell.dispatch._cell_board import CellBoard
+from zincwell.dispatch._cell_reporter import CellReporter
 from zincwell.dispatch._cells import LAYOUT_KEY, OWNER_KEY, Layout, decode_layout
 from zincwell.dispatch._configurations import ConfigurationKeeper
 from zincwell.dispatch._directory import EntryDirectory
@@ -42,12 +42,12 @@
 from zincwell.dispatch._metrics import Metrics
 from zincwell.dispatch._owner import Owner, OwnerListener
 from zincwell.dispatch._peers import Inbox, LinkObserver, PeerLink
+from zincwell.dispatch._router import OwnerRouter
 from zincwell.dispatch._slowness import SlownessWatch
 from zincwell.dispatch._tasks import TaskGroup
 from zincwell.dispatch._types import (
     Configuration,
     EntryInfo,
-    JobRequest,
     Limits,
     Outcome,
     WorkerInfo,
@@ -86,14 +86,12 @@
 # Each so many heartbeats owners tell other cells and their own entries how cells stand. Jobs go
 # elsewhere by reports that are this old, so callers of a burst wait at home for as long.
 REPORT_BEATS = 2
-# An owner tells this many others, so that what it sends does not grow with the number of cells.
-REPORTED_CELLS = 8
 # After the cells have changed, runs that the cells before them began may live anywhere for this
 # many seconds: for a lease, and until the owners there have stopped what nobody claims.
 CELLS_NEW_S = 3.0
 
 
-class Node(LinkObserver, OwnerListener, OwnerChannel, ElectionObserver):
+class Node(LinkObserver, OwnerListener, ElectionObserver):
     """An entry of the pool, in one of its cells.
 
     :param me: name, address for other entries, failure domain and incarnation of this process.
@@ -128,6 +126,13 @@
             clock=self._clock,
             is_fellow=lambda entry: self._board.covers(entry.zone, entry.name),
         )
+        self._reporter = CellReporter(board=self._board, directory=self._directory)
+        self._router = OwnerRouter(
+            me=me,
+            board=self._board,
+            directory=self._directory,
+            handle=lambda message: self._handle(self.me, message),
+        )
         self._inbox = Inbox()
         self._metrics = Metrics()
         self.configurations = ConfigurationKeeper(client=peers, metrics=self._metrics)
@@ -144,8 +149,8 @@
 
     def open(self) -> None:
         """Start to follow the store, to register and to take part."""
-        self.election = self._make_election(at_once=False)
-        self.desk = CallerDesk(channel=self, metrics=self._metrics)
+        self._join_cell(at_once=False)
+        self.desk = CallerDesk(channel=self._router, metrics=self._metrics)
         self._configuration_feed = TopicFollower(
             store=self._store,
             topic=Topic.CONFIGURATION,
@@ -300,14 +305,9 @@
             return
         if self._board.note_owner(cell, claim.owner, make_fence(record.offset)):
             self._directory.note(claim.owner, named=True)
-            self.desk.note_unsent(self._directory.withdraw_jobs(owners=self._owner_names()))
+            self.desk.note_unsent(self._directory.withdraw_jobs(owners=self._router.owner_names()))
             self.desk.hand_over(cell)
 
-    def _owner_names(self) -> set[str]:
-        """Return the names of the entries that own a cell, as far as known."""
-        owners = [self._board.owner_of(cell.name) for cell in self._board.other_cells()]
-        return {owner.name for owner in [*owners, self.election.owner] if owner is not None}
-
     def on_layout(self, record: StoreRecord) -> None:
         """Follow a newer layout of the cells."""
         if record.offset <= self._board.layout_offset:
@@ -329,7 +329,7 @@
         self.election.close()
         self._close_owner()
         self._domains = DomainWatch(me=self.me)
-        self.election = self._make_election(at_once=True)
+        self._join_cell(at_once=True)
         self.desk.bring_home()
         self.desk.note_unsent(self._directory.withdraw_jobs(owners=()))
         # Other cells may have claimed before this entry heard of the layout.
@@ -338,10 +338,12 @@
             if key.partition("/")[0] == OWNER_KEY:
                 self._note_claim(claimed)
 
-    def _make_election(self, *, at_once: bool) -> Election:
-        return Election(
+    def _join_cell(self, *, at_once: bool) -> None:
+        """Take part in the election of the own cell; at once if nobody can own it yet."""
+        self.election = Election(
             me=self.me, store=self._store, observer=self, cell=self._board.home, at_once=at_once
         )
+        self._router.election = self.election
 
     async def _tend_layout_forever(self) -> None:
         while True:
@@ -498,7 +500,7 @@
         self._slowness.end_term(self._loop.time())
         self._close_owner()
         self._directory.note(owner, named=True)
-        self.desk.note_unsent(self._directory.withdraw_jobs(owners=self._owner_names()))
+        self.desk.note_unsent(self._directory.withdraw_jobs(owners=self._router.owner_names()))
         self._directory.link(owner).send(Hello())
 
     def on_owner_heard(self) -> None:
@@ -529,7 +531,7 @@
         self._workers_feed.read_soon()
         self._owner.set_workers(self._listing.listed_by_id)
         self._owner.expect_workers(self._listing.lapsed_lately())
-        self.desk.note_unsent(self._directory.withdraw_jobs(owners=self._owner_names()))
+        self.desk.note_unsent(self._directory.withdraw_jobs(owners=self._router.owner_names()))
         self._send_beats()
         self.desk.hand_over(self._board.home.name)
 
@@ -609,7 +611,8 @@
 
     def _send_beats(self) -> None:
         self._beats += 1
-        reports = self._report() if self._beats % REPORT_BEATS == 0 else []
+        due = self._beats % REPORT_BEATS == 0
+        reports = self._reporter.report(self._owner, self.me) if due else []
         beat = Beat(
             fence=self._owner.fence,
             owner=self.me,
@@ -625,45 +628,6 @@
         for link in self._directory.idle_links():
             link.send(beat)
 
-    def _report(self) -> list[CellReport]:
-        """Tell other cells how this one stands; return what the own entries are to know.
-
-        A cell alone has nobody to send its jobs to, so nothing is said of it.
-        """
-        others = self._board.other_cells()
-        if not others or self._owner.domain is not None:
-            return []
-        room = self._owner.room()
-        report = CellReport(
-            cell=self._board.home.name,
-            fence=self._owner.fence,
-            free_cpu=room.free_cpu,
-            backlog_s=room.backlog_s,
-            pending=self._owner.jobs.pending_by_route(),
-        )
-        self._board.note_owner(report.cell, self.me, report.fence)
-        self._board.note_report(report)
-        for entry in self._neighbours() + self._guests():
-            link = self._directory.link(entry)
-            if link.is_idle():
-                link.send(report)
-        return [report, *self._board.fresh_reports()]
-
-    def _neighbours(self) -> list[EntryInfo]:
-        """Return the owners of the cells that follow this one in the layout."""
-        cells = self._board.layout.cells
-        place = cells.index(self._board.home)
-        following = (cells[place + 1 :] + cells[:place])[:REPORTED_CELLS]
-        owners = [self._board.owner_of(cell.name) for cell in following]
-        return [owner for owner in owners if owner is not None]
-
-    def _guests(self) -> list[EntryInfo]:
-        """Return the entries of other cells whose jobs are here; they must hear this owner."""
-        if not self._board.other_cells():
-            return []
-        entries = [self._directory.entries_by_name.get(name) for name in self._owner.guests()]
-        return [e for e in entries if e and not self._board.covers(e.zone, e.name)]
-
     def hears_all_domains(self) -> bool:
         """Return whether an entry of each failure domain answers, and has for a while."""
         links = self._directory.links_by_name.values()
@@ -700,51 +664,3 @@
                 await self._store.append(Topic.LIVENESS, key=key, value=self.me.name.encode())
             except StoreUnavailableError as error:
                 log.info('liveness_not_shown error="%s"', error)
-
-    # -- the way to the owner, for callers --------------------------------------------------
-
-    def home(self) -> str:
-        """Return the name of the own cell."""
-        return self._board.home.name
-
-    def choose_cell(self, request: JobRequest, *, refused_by: Collection[str]) -> str | None:
-        """Return the cell that a job should go to, None if all that would take it refused it."""
-        if not self._board.other_cells():
-            return None if refused_by else self.home()
-        heard = self.election.owner is not None and self.election.has_heard_owner()
-        silence_s = self.election.silence_s() if heard else math.inf
-        return self._board.choose(request, home_silence_s=silence_s, refused_by=refused_by)
-
-    def fence(self, cell: str) -> int:
-        """Return the fencing token of a cell's owner, 0 if none has been heard.
-
-        A record in the store may name a process that is no more. A job that was handed to it would
-        count as possibly started, and wait for 1.4 s under the next owner.
-        """
-        if cell != self.home():
-            return self._board.fence_of(cell)
-        known = self.election.owner is not None and self.election.has_heard_owner()
-        return self.election.fence if known else 0
-
-    def silence_s(self, cell: str) -> float:
-        """Return for how long no owner of a cell was heard."""
-        if cell != self.home():
-            return self._board.silence_s(cell)
-        return self.election.silence_s()
-
-    def submit(self, cell: str, message: Submit) -> None:
-        """Hand a job to the owner of a cell."""
-        self._to_owner(cell, message)
-
-    def cancel(self, cell: str, message: Cancel) -> None:
-        """Tell the owner of a cell that nobody waits for a job."""
-        self._to_owner(cell, message)
-
-    def _to_owner(self, cell: str, message: Message) -> None:
-        owner = self.election.owner if cell == self.home() else self._board.owner_of(cell)
-        if owner is None:
-            return
-        if owner.incarnation == self.me.incarnation:
-            self._handle(self.me, message)
-        else:
-            self._directory.link(owner).send(message)
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -276,7 +276,7 @@
         waiting = sum(job.waiting_work() for job in self._scheduler.queue)
         return Room(free_cpu=max(free, 0), backlog_s=waiting / usable if usable else NO_WORKERS_S)
 
-    def guests(self) -> set[str]:
+    def waiting_entries(self) -> set[str]:
         """Return the names of all entries that wait for jobs of this owner."""
         return {name for job in self.jobs.jobs_by_id.values() for name in job.waiting_for}
 
