--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -28,7 +28,9 @@
         print("\n".join(SCENARIOS))
 
     def slopes(self, *names: str, runs: int = 3, out: str = "") -> None:
-        """Measure slopes of cost by size, all unless some are named; see docs/capacity-first-core.md.
+        """Measure slopes of cost by size, all unless some are named.
+
+        See docs/capacity-first-core.md.
 
         Args:
             names: measurements to make.
