Keep evacuated failure domains free of new work

Cause: operators ask that the workers of a failure domain get nothing more, by a record beside the configuration.

Change: evacuations are a state of the pool beside the configuration. They are read with it, kept by every entry, and told by each to the others with each message once anybody has heard of one, so they outlive owners and reach entries that the store turns away. An owner starts nothing before it knows what operators have in force. Room, forecast, offered load and reports between cells leave those workers out; what runs ends by itself; jobs that fit only there are refused at once with a time to come back, or go to another cell; one that has begun and has no worker left is answered at once.

Ruled out: taking evacuated workers out of the list (leases, stops and cancels must still reach them, and the layout of cells would change with each evacuation); letting begun jobs start their last tasks there (operators asked for nothing more).

--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -18,6 +18,7 @@
 from zincwell.dispatch._types import (
     Configuration,
     EntryInfo,
+    Evacuation,
     JobRequest,
     Outcome,
     Route,
@@ -203,6 +204,7 @@
         self.done: dict[TaskId, int] = defaultdict(int)
         self.starts: list[tuple[float, str, TaskId, int]] = []
         self.violations: list[str] = []
+        self.evacuated_at_by_zone: dict[str, float] = {}
         self.lose_start_answers: set[str] = set()
         self.verdicts_by_job: dict[str, set[Verdict]] = defaultdict(set)
         self.calls_by_node: dict[str, set[asyncio.Future]] = {}
@@ -274,6 +276,18 @@
         configuration = Configuration(version=version, routes=[route])
         self._append(Topic.CONFIGURATION, "config", msgspec.json.encode(configuration))
 
+    def evacuate(self, *zones: str) -> None:
+        """Ask as an operator that the workers of zones get nothing new."""
+        for zone in zones:
+            self._append(Topic.CONFIGURATION, f"evacuate/{zone}", b"{}")
+            self.evacuated_at_by_zone[zone] = self.loop.time()
+
+    def restore(self, *zones: str) -> None:
+        """Take the evacuation of zones back."""
+        for zone in zones:
+            self._append(Topic.CONFIGURATION, f"evacuate/{zone}", b"")
+            self.evacuated_at_by_zone.pop(zone, None)
+
     def add_node(self, name: str, zone: str, *, cores: float = 1.0) -> Node:
         life = sum(1 for key, _ in self.topics[Topic.ENTRIES] if key == f"entry/{name}")
         me = EntryInfo(
@@ -346,6 +360,14 @@
                     f"and {worker.info.id}"
                 )
 
+    def starts_in(self, zone: str, *, since: float) -> list[str]:
+        """Return the workers of a zone that were told to start something since a moment."""
+        return [
+            worker
+            for at, worker, _, _ in self.starts
+            if at >= since and worker.startswith(f"w-{zone}")
+        ]
+
     def owners(self) -> list[str]:
         return [name for name, node in self.nodes.items() if node.election.is_owner()]
 
@@ -566,6 +588,9 @@
     kinds = {Topic.CONFIGURATION: Configuration, Topic.WORKERS: WorkerInfo}
     if not value:
         return StoreRecord(key=key, offset=offset, value=None)
+    if topic is Topic.CONFIGURATION and key.startswith("evacuate/"):
+        domain = key.removeprefix("evacuate/")
+        return StoreRecord(key=key, offset=offset, value=Evacuation(domain=domain))
     if topic in kinds:
         decoded = msgspec.json.decode(value, type=kinds[topic])
         return StoreRecord(key=key, offset=offset, value=decoded)
--- a/zincwell/dispatch/_feeds.py
+++ b/zincwell/dispatch/_feeds.py
@@ -30,6 +30,7 @@
         the first page and whenever the history was lost.
     :param wait_s: how long the store may wait for a record before it answers.
     :param pause_s: how long to wait between two reads.
+    :ivar place: up to where in the store's log the topic is known, -1 before the first read.
     :ivar wanted: whether to read at all; while it is not, what is known grows old.
     :ivar snapshots: read what is newest each time in place of what has changed. With long pauses
         that is less: a worker writes every 1.5 s, and only its newest record counts.
@@ -50,6 +51,7 @@
         self.wanted = True
         self.snapshots = False
         self.read_at = 0.0
+        self.place = -1
         self._store = store
         self._topic = topic
         self._on_change = on_change
@@ -102,11 +104,12 @@
     async def _read(self) -> None:
         if self._next is None:
             page = await self._store.newest(self._topic)
+            self._next = self.place = page.end
             self._replace(page)
         else:
             page = await self._store.changes(self._topic, start=self._next, wait_s=self._wait_s)
+            self._next = self.place = page.end
             self._fold(page)
-        self._next = page.end
         self.read_at = self._loop.time()
 
     def _replace(self, page: StorePage) -> None:
--- a/zincwell/dispatch/_messages.py
+++ b/zincwell/dispatch/_messages.py
@@ -5,7 +5,7 @@
 from msgspec import Struct
 
 from zincwell.dispatch._cells import Layout
-from zincwell.dispatch._types import EntryInfo, JobRequest, Outcome
+from zincwell.dispatch._types import EntryInfo, Evacuations, JobRequest, Outcome
 
 
 class Submit(Struct, frozen=True, kw_only=True, tag="submit", omit_defaults=True):
@@ -105,13 +105,14 @@
 Message = Submit | Cancel | TasksDone | JobEnded | CellReport | LayoutNotice | Beat | Hello
 
 
-class Envelope(Struct, frozen=True, kw_only=True):
+class Envelope(Struct, frozen=True, kw_only=True, omit_defaults=True):
     """One delivery between two entries.
 
     :param sequence: rises by one; a repeated delivery carries the same number.
     :param sent_at: the sender's clock, in seconds from a moment of its own.
     :param version: newest version of the configuration that the sender knows.
     :param fence: fencing token of the sender if it is owner, else 0.
+    :param evacuations: what the sender knows of them; None if it never heard of any.
     """
 
     sender: EntryInfo
@@ -120,6 +121,7 @@
     messages: list[Message]
     version: int = 0
     fence: int = 0
+    evacuations: Evacuations | None = None
 
 
 class Receipt(Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -133,6 +135,7 @@
     :param leaving: the receiver takes nothing over: it shuts down, or was too slow as owner.
     :param version: newest version of the configuration that the receiver knows.
     :param late: the envelope came so late that jobs in it were not taken.
+    :param evacuations: what the receiver knows of them; None if it never heard of any.
     """
 
     receiver: EntryInfo
@@ -143,3 +146,4 @@
     leaving: bool = False
     version: int = 0
     late: bool = False
+    evacuations: Evacuations | None = None
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -23,6 +23,7 @@
     decode_claim,
     make_fence,
 )
+from zincwell.dispatch._evacuations import EvacuationKeeper
 from zincwell.dispatch._feeds import TopicFollower
 from zincwell.dispatch._layout_keeper import LOOK_S, LayoutKeeper
 from zincwell.dispatch._listing import WorkerListing
@@ -48,6 +49,8 @@
 from zincwell.dispatch._types import (
     Configuration,
     EntryInfo,
+    Evacuation,
+    Evacuations,
     Limits,
     Outcome,
     WorkerInfo,
@@ -142,6 +145,9 @@
         self._inbox = Inbox()
         self._metrics = Metrics()
         self.configurations = ConfigurationKeeper(client=peers, metrics=self._metrics)
+        self.evacuations = EvacuationKeeper(
+            on_change=self._on_evacuations, metrics=self._metrics
+        )
         self._owner: Owner | None = None
         self._domains = DomainWatch(me=me)
         self._listing = WorkerListing()
@@ -230,6 +236,7 @@
             "callers_waiting": self.desk.count(),
             "entries_known": len(self._directory.entries_by_name),
             "cells": len(self._board.layout.cells),
+            "domains_evacuated": len(self.evacuations.domains),
         }
         if self._owner is not None:
             gauges.update(self._owner.gauges())
@@ -261,11 +268,33 @@
     # -- what the store tells ---------------------------------------------------------------
 
     def _on_configuration(self, keys: set[str]) -> None:
-        for record in self._configuration_feed.records_by_key.values():
-            if isinstance(record.value, Configuration):
-                self.configurations.take(record.value, source="store")
+        values = [r.value for r in self._configuration_feed.records_by_key.values()]
+        evacuated = [value.domain for value in values if isinstance(value, Evacuation)]
+        # First, or an owner that learns both at once would begin with evacuated workers.
+        self.evacuations.take_from_store(evacuated, place=self._configuration_feed.place)
+        for value in values:
+            if isinstance(value, Configuration):
+                self.configurations.take(value, source="store")
         self._on_workers(set())
 
+    def _on_evacuations(self) -> None:
+        if self._owner is None:
+            return
+        self._owner.evacuate(self.evacuations.domains)
+        # Entries would send jobs to a cell that can't take them until they hear of it.
+        self._send_beats(with_reports=True)
+
+    def evacuations_known(self) -> Evacuations | None:
+        """Return what other entries should be told of evacuations."""
+        return self.evacuations.account()
+
+    def knows_evacuations(self) -> bool:
+        """Return whether this entry has heard what operators have in force, from anybody.
+
+        Whoever has the document tells the evacuations as well.
+        """
+        return self.configuration is not None
+
     def configuration_version(self) -> int:
         """Return the newest version of the configuration that this entry knows."""
         return self.configurations.version()
@@ -400,6 +429,7 @@
         """Handle an envelope of another entry."""
         self._directory.note(envelope.sender)
         self._directory.note_heard(envelope.sender.name)
+        self.evacuations.note_account(envelope.evacuations, entry=envelope.sender.name)
         self._check_owner_life()
         self.election.note_owner_alive(envelope.sender.incarnation, envelope.fence)
         late = self._inbox.is_late(envelope, now=self._clock())
@@ -419,6 +449,7 @@
             leaving=self.leaving or self._slowness.rests(self._loop.time()),
             version=self.configuration_version(),
             late=late,
+            evacuations=self.evacuations.account(),
         )
 
     def _handle(self, sender: EntryInfo, message: Message) -> None:
@@ -477,6 +508,7 @@
 
     def on_receipt(self, link: PeerLink, receipt: Receipt) -> None:
         """Take note of an acknowledgement."""
+        self.evacuations.note_account(receipt.evacuations, entry=receipt.receiver.name)
         if receipt.receiver.incarnation != link.peer.incarnation:
             self._directory.note(receipt.receiver)
         if receipt.layout_offset < self._board.layout_offset:
@@ -536,6 +568,7 @@
                 covers=lambda info: self._board.covers(info.zone, info.id),
                 adopt_first=self._loop.time() < self._cells_new_until,
             )
+            self._owner.evacuate(self.evacuations.domains)
         self._elected_at = self._loop.time()
         self._follow_workers()
         self._workers_feed.read_soon()
@@ -633,9 +666,9 @@
             self._metrics.count("slow_terms")
             log.warning("too_slow_to_own late_ms=%d", (now - due_at) * 1000)
 
-    def _send_beats(self) -> None:
+    def _send_beats(self, *, with_reports: bool = False) -> None:
         self._beats += 1
-        due = self._beats % REPORT_BEATS == 0
+        due = with_reports or self._beats % REPORT_BEATS == 0
         reports = self._reporter.report(self._owner, self.me) if due else []
         beat = Beat(
             fence=self._owner.fence,
--- a/zincwell/dispatch/_overload.py
+++ b/zincwell/dispatch/_overload.py
@@ -183,7 +183,7 @@
         added to what becomes free elsewhere.
         """
         for session in sessions:
-            if session.info.draining:
+            if not session.is_open():
                 continue
             usable_s = max(session.aside_until, session.pause_until) - now
             if session.silent or not session.held:
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -5,7 +5,7 @@
 import abc
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from time import perf_counter
 
@@ -42,6 +42,9 @@
 OPENING_S = 0.06
 # Stands for the backlog of an owner without workers, in seconds.
 NO_WORKERS_S = 3600.0
+# Coming back is worth a try after this many seconds if workers are closed by operators, who take
+# evacuations back by hand.
+EVACUATED_RETRY_S = 5.0
 # How often waiting jobs are looked at for having waited too long, in seconds.
 REVIEW_S = 0.02
 
@@ -81,6 +84,10 @@
     def hears_all_domains(self) -> bool:
         """Return whether an entry of each failure domain answers, and has for a while."""
 
+    @abc.abstractmethod
+    def knows_evacuations(self) -> bool:
+        """Return whether it is known which failure domains are evacuated."""
+
     @abc.abstractmethod
     def on_superseded(self) -> None:
         """Find out who the owner is: a worker obeys a higher fencing token."""
@@ -189,6 +196,15 @@
         """Hold workers that are not listed any more, if they still answer."""
         self._workers.expect(infos)
 
+    def evacuate(self, domains: Collection[str]) -> None:
+        """Start nothing on the workers of these failure domains; what runs there ends by itself.
+
+        Tasks that were sent there after operators had asked for it would run into whatever they
+        emptied the domain for.
+        """
+        self._workers.evacuate(domains)
+        self.on_room()
+
     def _make_session(self, info: WorkerInfo) -> WorkerSession:
         return WorkerSession(
             info=info,
@@ -204,7 +220,12 @@
         return self.domain in (None, info.zone) and self._covers(info)
 
     def _may_begin(self, now: float) -> bool:
-        """Return whether tasks may be started yet; see `OPENING_S`."""
+        """Return whether tasks may be started yet; see `OPENING_S`.
+
+        An owner that has just started may hear of jobs before it hears of evacuations.
+        """
+        if not self._listener.knows_evacuations():
+            return False
         return now - self._opened_at >= OPENING_S or self._workers.all_asked()
 
     def _sees_all_runs(self, now: float) -> bool:
@@ -292,6 +313,7 @@
             "jobs_not_started": sum(1 for j in self.jobs.jobs_by_id.values() if not j.started),
             "workers": len(sessions),
             "workers_held": sum(1 for s in sessions if s.held),
+            "workers_evacuated": sum(1 for s in sessions if s.evacuated),
             "workers_silent": sum(1 for s in sessions if s.silent),
             "runs": sum(len(s.runs) for s in sessions),
         }
@@ -521,8 +543,27 @@
             )
             self.jobs.refuse(job, "no room in time", retry_after_s=hopeless.retry_after_s)
         for job in list(self.jobs.jobs_by_id.values()):
-            if not job.started and not self._may_ever_fit(job):
+            if job.waiting and not self._may_ever_fit(job):
+                self._end_unplaceable(job)
+
+    def _end_unplaceable(self, job: Job) -> None:
+        """Answer a job that no worker here can take.
+
+        One that has begun can't go to another cell, where its runs can't be seen; told at once,
+        its caller comes again and finds another one.
+        """
+        if not self._workers.could_fit_but_for_evacuation(job.request):
+            if not job.started:
                 self.jobs.refuse(job, "no worker is large enough")
+            return
+        reason = "failure domain evacuated"
+        if not job.started:
+            self.jobs.refuse(job, reason, retry_after_s=EVACUATED_RETRY_S)
+            return
+        outcome = Outcome(
+            verdict=Verdict.UNKNOWN, reason=reason, retry_after_s=EVACUATED_RETRY_S
+        )
+        self.jobs.end(job, outcome, remember=False)
 
     def _may_ever_fit(self, job: Job) -> bool:
         """Return whether the workers known now are large enough for a job.
@@ -533,7 +574,7 @@
         if job.fits_workers_of == self._workers.version:
             return True
         job.fits_workers_of = self._workers.version
-        return self._workers.could_ever_fit(service=job.request.service, steps=job.request.steps)
+        return self._workers.could_ever_fit(job.request)
 
     def _stop_strangers(self, now: float) -> None:
         for session in self._workers.sessions_by_id.values():
--- a/zincwell/dispatch/_peers.py
+++ b/zincwell/dispatch/_peers.py
@@ -10,7 +10,7 @@
 
 from zincwell.dispatch._messages import Cancel, Envelope, Message, Receipt, Submit
 from zincwell.dispatch._tasks import TaskGroup
-from zincwell.dispatch._types import EntryInfo
+from zincwell.dispatch._types import EntryInfo, Evacuations
 from zincwell.dispatch.ports import PeerCallError, PeerClient
 
 log = logging.getLogger("zincwell.peer")
@@ -46,6 +46,10 @@
     def configuration_version(self) -> int:
         """Return the newest version of the configuration that this entry knows."""
 
+    @abc.abstractmethod
+    def evacuations_known(self) -> Evacuations | None:
+        """Return what other entries should be told of evacuations."""
+
 
 class PeerLink:
     """Delivers messages to one entry in order, with one delivery under way at a time.
@@ -172,6 +176,7 @@
                 messages=self._under_way,
                 version=self._observer.configuration_version(),
                 fence=self._observer.own_fence(),
+                evacuations=self._observer.evacuations_known(),
             )
             try:
                 receipt = await self._client.deliver(
--- a/zincwell/dispatch/_types.py
+++ b/zincwell/dispatch/_types.py
@@ -153,6 +153,24 @@
         return max(matching, key=lambda route: len(route.prefix), default=None)
 
 
+class Evacuation(Struct, frozen=True, kw_only=True):
+    """An operator's request that the workers of a failure domain get nothing more."""
+
+    domain: str
+
+
+class Evacuations(Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """All evacuations in force at a moment.
+
+    :param place: place in the store's log up to which they are known; of two accounts the one with
+        the higher place holds. -1 while nothing is known.
+    :param domains: the evacuated failure domains, sorted.
+    """
+
+    place: int = -1
+    domains: list[str] = []
+
+
 class WorkerInfo(Struct, frozen=True, kw_only=True):
     """A worker as the platform's list shows it.
 
--- a/zincwell/dispatch/_worker.py
+++ b/zincwell/dispatch/_worker.py
@@ -108,6 +108,7 @@
         self.silent = False
         self.fenced = False
         self.replaced = False
+        self.evacuated = False
         self.pause_until = 0.0
         self.aside_until = 0.0
         self.on_trial = False
@@ -181,7 +182,7 @@
             self.held
             and not self.silent
             and not self.fenced
-            and not self.info.draining
+            and self.is_open()
             and not self.strangers
             and now >= self.pause_until
             and now >= self.aside_until
@@ -190,7 +191,11 @@
 
     def can_serve(self, now: float) -> bool:
         """Return whether the worker takes part in what the owner can do."""
-        return self.held and not self.silent and not self.info.draining and now >= self.aside_until
+        return self.held and not self.silent and self.is_open() and now >= self.aside_until
+
+    def is_open(self) -> bool:
+        """Return whether the worker is to get new work: it neither leaves nor is evacuated."""
+        return not self.info.draining and not self.evacuated
 
     def set_aside(self, *, until: float) -> None:
         """Start nothing until a moment, and one run at a time after it until one shows speed."""
--- a/zincwell/dispatch/_workers.py
+++ b/zincwell/dispatch/_workers.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from zincwell.dispatch._placement import could_ever_fit
-from zincwell.dispatch._types import Step, WorkerInfo
+from zincwell.dispatch._types import JobRequest, Step, WorkerInfo
 from zincwell.dispatch._worker import WorkerSession
 
 log = logging.getLogger("zincwell.owner")
@@ -27,6 +27,7 @@
     ) -> None:
         self.sessions_by_id: dict[str, WorkerSession] = {}
         self._serves = serves
+        self._evacuated: frozenset[str] = frozenset()
         # Rises with each change, so that what was found out about all workers can be kept.
         self.version = 0
         self._make_session = make_session
@@ -79,17 +80,37 @@
             for session in self.sessions_by_id.values()
         )
 
-    def could_ever_fit(self, *, service: str, steps: Iterable[Step]) -> bool:
-        """Return whether workers of a service are large enough for some steps; True if none."""
-        sessions = [s for s in self.sessions_by_id.values() if s.info.service == service]
-        return not sessions or all(
-            any(could_ever_fit(session, step=step) for session in sessions) for step in steps
-        )
+    def evacuate(self, domains: Collection[str]) -> None:
+        """Let workers of these failure domains, and of no others, get nothing new."""
+        self.version += 1
+        self._evacuated = frozenset(domains)
+        for session in self.sessions_by_id.values():
+            session.evacuated = session.info.zone in self._evacuated
+
+    def could_ever_fit(self, request: JobRequest) -> bool:
+        """Return whether workers that may take a job are large enough; True if none is known."""
+        sessions = self._sessions_of(request.service)
+        usable = [session for session in sessions if not session.evacuated]
+        return not sessions or _are_large_enough(usable, request.steps)
+
+    def could_fit_but_for_evacuation(self, request: JobRequest) -> bool:
+        """Return whether evacuated workers would be large enough together with the others."""
+        sessions = self._sessions_of(request.service)
+        evacuated = any(session.evacuated for session in sessions)
+        return evacuated and _are_large_enough(sessions, request.steps)
+
+    def _sessions_of(self, service: str) -> list[WorkerSession]:
+        return [s for s in self.sessions_by_id.values() if s.info.service == service]
 
     def _open(self, info: WorkerInfo) -> WorkerSession:
         self.version += 1
         log.info("worker_listed worker=%s domain=%s cpu=%d", info.id, info.zone, info.cpu)
         session = self._make_session(info)
+        session.evacuated = info.zone in self._evacuated
         self.sessions_by_id[info.id] = session
         session.open()
         return session
+
+
+def _are_large_enough(sessions: Iterable[WorkerSession], steps: Iterable[Step]) -> bool:
+    return all(any(could_ever_fit(session, step=step) for session in sessions) for step in steps)
--- a/zincwell/dispatch/ports.py
+++ b/zincwell/dispatch/ports.py
@@ -8,7 +8,7 @@
 from msgspec import Struct
 
 from zincwell.dispatch._messages import Envelope, Receipt
-from zincwell.dispatch._types import Configuration, TaskId, WorkerInfo
+from zincwell.dispatch._types import Configuration, Evacuation, TaskId, WorkerInfo
 from zincwell.exceptions import ZincwellError
 
 
@@ -41,7 +41,10 @@
 
 
 class Topic(enum.Enum):
-    """What is kept in the store."""
+    """What is kept in the store.
+
+    Operators write their document and evacuations to ``CONFIGURATION``.
+    """
 
     CONFIGURATION = enum.auto()
     WORKERS = enum.auto()
@@ -58,7 +61,7 @@
 
     key: str
     offset: int
-    value: Configuration | WorkerInfo | bytes | None
+    value: Configuration | Evacuation | WorkerInfo | bytes | None
 
 
 class StorePage(Struct, frozen=True, kw_only=True):
--- a/zincwell/platform/_store.py
+++ b/zincwell/platform/_store.py
@@ -10,7 +10,7 @@
 import msgspec
 from msgspec import Struct
 
-from zincwell.dispatch._types import Configuration, WorkerInfo
+from zincwell.dispatch._types import Configuration, Evacuation, WorkerInfo
 from zincwell.dispatch.ports import (
     RecordsGoneError,
     Store,
@@ -21,7 +21,7 @@
     Topic,
 )
 from zincwell.exceptions import DocumentError
-from zincwell.platform._wire import decode_configuration, decode_worker
+from zincwell.platform._wire import check_readable, decode_configuration, decode_worker
 
 log = logging.getLogger("zincwell.store")
 
@@ -34,6 +34,7 @@
     Topic.LIVENESS: "keyed.zincwell-liveness",
 }
 CONFIGURATION_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
 # The store answers in 4 ms; when slow, in 50 to 60 times that. A call beyond this is given up on
 # a connection that may be silent.
 CALL_TIMEOUT_S = 0.6
@@ -193,7 +194,7 @@
         try:
             decoded = _decode_value(topic, key, value)
         except DocumentError as error:
-            decoded = None
+            decoded = _decode_key(topic, key)
             if (topic, key) not in self._unreadable:
                 self._unreadable.add((topic, key))
                 log.error('record_unreadable topic=%s key=%s error="%s"', topic.name, key, error)
@@ -202,11 +203,32 @@
 
 def _decode_value(
     topic: Topic, key: str, value: bytes
-) -> Configuration | WorkerInfo | bytes | None:
+) -> Configuration | Evacuation | WorkerInfo | bytes | None:
     if not value:
         return None
     if topic is Topic.WORKERS:
         return decode_worker(key, value)
     if topic is Topic.CONFIGURATION:
-        return decode_configuration(value) if key == CONFIGURATION_KEY else None
+        return _decode_order(key, value)
     return value
+
+
+def _decode_order(key: str, value: bytes) -> Configuration | Evacuation | None:
+    """Return what operators have written under a key, None for what is not known here."""
+    if key == CONFIGURATION_KEY:
+        return decode_configuration(value)
+    if key.startswith(EVACUATION_PREFIX):
+        check_readable(value)
+        return _decode_key(Topic.CONFIGURATION, key)
+    return None
+
+
+def _decode_key(topic: Topic, key: str) -> Evacuation | None:
+    """Return what a key alone says: which failure domain is evacuated, whatever its record holds.
+
+    Work sent to a domain whose evacuation can't be read would run into its shutdown.
+    """
+    domain = key.removeprefix(EVACUATION_PREFIX)
+    if topic is not Topic.CONFIGURATION or not domain or domain == key:
+        return None
+    return Evacuation(domain=domain)
--- a/zincwell/platform/_wire.py
+++ b/zincwell/platform/_wire.py
@@ -223,6 +223,17 @@
     )
 
 
+def check_readable(body: bytes) -> None:
+    """Check that a record is JSON, whatever it says.
+
+    :raises DocumentError: if it is not.
+    """
+    try:
+        msgspec.json.decode(body)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise DocumentError(str(error)) from error
+
+
 def decode_worker(worker_id: str, body: bytes) -> WorkerInfo:
     """Return a worker's entry in the list.
 
