Let a job go to a much shorter queue when no cell begins it at once

Cause: a job left its own cell only for one that began it at once. Callers of an evacuated domain were refused, and those of a domain with a burst waited or were refused at home, while the queues of other cells were nearly empty.

Change: where no cell begins it at once, a job goes to the shorter of two queues that chance picks, if it waits 50 ms less there than at home; evacuated cells count as without any queue. Weighed: the shortest queue of all (all entries would send to the same one for the 0.2 s until the next reports).

--- a/zincwell/dispatch/_cell_board.py
+++ b/zincwell/dispatch/_cell_board.py
@@ -145,8 +145,9 @@
             if cell.name not in refused
         }
         cpu = sum(step.count * step.cpu for step in request.steps)
-        may_wait = home not in refused and home_silence_s < SUSPECT_S
-        chosen = choose_other_cell(request.id, cpu, others, may_wait=may_wait)
+        can_wait = home not in refused and home_silence_s < SUSPECT_S and home_state.has_workers()
+        home_wait_s = home_state.backlog_s if can_wait else math.inf
+        chosen = choose_other_cell(request.id, cpu, others, home_wait_s=home_wait_s)
         if chosen is not None:
             log.info(
                 "sent_elsewhere job=%s cell=%s refused_by=%d", request.id, chosen, len(refused)
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -22,7 +22,7 @@
 from zincwell.dispatch._types import JobRequest, Limits, Outcome, TaskId, Verdict, WorkerInfo
 from zincwell.dispatch._worker import WorkerObserver, WorkerSession
 from zincwell.dispatch._workers import WorkerSet
-from zincwell.dispatch.decisions import LossWatch, least_wait_s
+from zincwell.dispatch.decisions import NO_WORKERS_S, LossWatch, least_wait_s
 from zincwell.dispatch.ports import EndKind, WorkerClient
 
 log = logging.getLogger("zincwell.owner")
@@ -40,8 +40,6 @@
 # they run. A job that a caller has sent again looks like any other, and its runs, which the last
 # owner began, may be on a worker that answers a few milliseconds after the others.
 OPENING_S = 0.06
-# Stands for the backlog of an owner without workers, in seconds.
-NO_WORKERS_S = 3600.0
 # Coming back is worth a try after this many seconds if workers are closed by operators, who take
 # evacuations back by hand.
 EVACUATED_RETRY_S = 5.0
@@ -560,9 +558,7 @@
         if not job.started:
             self.jobs.refuse(job, reason, retry_after_s=EVACUATED_RETRY_S)
             return
-        outcome = Outcome(
-            verdict=Verdict.UNKNOWN, reason=reason, retry_after_s=EVACUATED_RETRY_S
-        )
+        outcome = Outcome(verdict=Verdict.UNKNOWN, reason=reason, retry_after_s=EVACUATED_RETRY_S)
         self.jobs.end(job, outcome, remember=False)
 
     def _may_ever_fit(self, job: Job) -> bool:
--- a/zincwell/dispatch/decisions/__init__.py
+++ b/zincwell/dispatch/decisions/__init__.py
@@ -24,6 +24,7 @@
 )
 from zincwell.dispatch.decisions._runtimes import SLOW_WORKER, RunTimes
 from zincwell.dispatch.decisions._spread import (
+    NO_WORKERS_S,
     SUSPECT_S,
     CellState,
     choose_other_cell,
@@ -41,6 +42,7 @@
     "LATEST_OBJECTIVES",
     "MAX_PATIENCE_S",
     "MIN_PERCENT",
+    "NO_WORKERS_S",
     "OWN_LATENESS_S",
     "SLOW_WORKER",
     "SUSPECT_S",
--- a/zincwell/dispatch/decisions/_spread.py
+++ b/zincwell/dispatch/decisions/_spread.py
@@ -3,12 +3,16 @@
 Load that it answers: callers who move from one failure domain to another, bursts in one of them,
 and the half second in which a cell has no owner. The own cell's workers are near, and a resend of
 a job finds it there; so a job goes elsewhere only if it would have to wait at home, or was refused.
+Where no cell begins it at once, it goes to one where it waits much less. A cell whose workers are
+evacuated has none, so the jobs of its callers all go elsewhere.
+
 Reports are a few tenths of a second old, and many entries read the same: each picks among all
 cells with room, by chance in proportion to it, so that they don't all fill the same one.
 """
 
 from __future__ import annotations
 
+import math
 import zlib
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -19,6 +23,11 @@
 # A job that could wait at home goes to another cell only if that has room for this many of its
 # size, since others see the room, too. One that can't be served at home needs room just for itself.
 ROOM_FACTOR = 2
+# A job leaves a queue for a shorter one if that saves at least this many seconds. Queues change by
+# as much between two reports, and the objective of the shortest jobs is twice as long.
+WORTH_MOVING_S = 0.05
+# The backlog of a cell without workers, in seconds.
+NO_WORKERS_S = 3600.0
 # What a cell said of itself longer ago says nothing about now, in seconds.
 FRESH_S = 1.0
 # An owner that was not heard for this many seconds may be gone: its heartbeats come each 0.1 s.
@@ -42,9 +51,16 @@
 
     def takes(self, cpu: int) -> bool:
         """Return whether tasks of a size would begin there at once, as far as anybody knows."""
-        heard = self.age_s < FRESH_S and self.silence_s < FRESH_S
         idle = self.backlog_s < BEARABLE_BACKLOG_S
-        return heard and idle and self.free_cpu >= cpu
+        return self.is_heard() and idle and self.free_cpu >= cpu
+
+    def is_heard(self) -> bool:
+        """Return whether the cell has an owner, and what is known of it is young enough."""
+        return self.age_s < FRESH_S and self.silence_s < FRESH_S
+
+    def has_workers(self) -> bool:
+        """Return whether there is anything to wait for."""
+        return self.backlog_s < NO_WORKERS_S
 
 
 def is_served_at_home(home: CellState) -> bool:
@@ -53,17 +69,17 @@
 
 
 def choose_other_cell(
-    job_id: str, cpu: int, others: Mapping[str, CellState], *, may_wait: bool = False
+    job_id: str, cpu: int, others: Mapping[str, CellState], *, home_wait_s: float = math.inf
 ) -> str | None:
-    """Return the name of a cell that would begin a job at once, None if there is none.
+    """Return the name of a cell that would begin a job soonest, None if that is the own one.
 
     :param cpu: thousandths of a core that all tasks of the job take together.
-    :param may_wait: the own cell has not refused the job, and has an owner.
+    :param home_wait_s: backlog of the own cell; infinite if it has refused the job or can't run it.
     """
-    needed = cpu * (ROOM_FACTOR if may_wait else 1)
+    needed = cpu if math.isinf(home_wait_s) else cpu * ROOM_FACTOR
     names = sorted(name for name, state in others.items() if state.takes(needed))
     if not names:
-        return None
+        return _choose_queue(job_id, others, home_wait_s)
     total = sum(others[name].free_cpu for name in names)
     point = zlib.crc32(job_id.encode()) / 2**32 * total
     for name in names:
@@ -71,3 +87,21 @@
         if point < 0:
             return name
     return names[-1]
+
+
+def _choose_queue(job_id: str, others: Mapping[str, CellState], home_wait_s: float) -> str | None:
+    """Return the cell where a job waits much less than at home, None if there is none.
+
+    Of two that chance picks it is the one with the shorter queue: if all entries sent their jobs
+    to the shortest of all, that one would be the longest at the next report.
+    """
+    limit_s = min(home_wait_s, NO_WORKERS_S) - WORTH_MOVING_S
+    names = sorted(
+        name for name, state in others.items() if state.is_heard() and state.backlog_s < limit_s
+    )
+    if not names:
+        return None
+    chance = zlib.crc32(job_id.encode())
+    first = names[chance % len(names)]
+    second = names[chance // len(names) % len(names)]
+    return min(first, second, key=lambda name: others[name].backlog_s)
