--- /dev/null
+++ b/tests/test_large_pools.py
@@ -0,0 +1,149 @@
+"""What does not grow with the square of a pool: questions, connections, readings of the list."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan, HasLength, LessThan
+
+from tests.dispatch_world import World
+from tests.pool_jobs import finish, submit, verdicts
+from zincwell.dispatch._types import Verdict
+from zincwell.dispatch.decisions import choose_wait_s
+from zincwell.dispatch.ports import Topic
+
+pytestmark = pytest.mark.looptime
+
+ENTRIES = 8
+WORKERS = 16
+
+
+async def open_parts(world: World) -> None:
+    """Open a pool of three domains, each too large for one owner."""
+    await world.open(entries=ENTRIES, workers=WORKERS, cores=WORKERS / 2 / 40)
+    await asyncio.sleep(3)
+    assert_that(world.owners(), HasLength(6))
+
+
+def readers_of_list(world: World) -> set[str]:
+    return {name for name, topic in world.reads if topic is Topic.WORKERS}
+
+
+def home_of(world: World, owner: str):
+    return world.nodes[owner]._board.home
+
+
+async def test_a_pool_that_nobody_owned_is_divided_before_it_is_owned(world: World):
+    # Symptom: with 300 entries nothing is served after the first start. Sequence: one entry claims
+    # the whole pool, holds all workers and sends each heartbeat to all entries; it falls behind,
+    # and the others look for another owner. Cause: the pool is divided only seconds later.
+    await open_parts(world)
+    claims = [key for key, _ in world.topics[Topic.CLAIMS]]
+    assert_that(claims[0], Equals("layout"))
+    assert_that(claims, HasLength(1 + 6))
+
+
+async def test_entries_that_know_no_owner_do_not_ask_all_others(world: World):
+    # Symptom: 600 connections at each of 300 entries. Sequence: after the first start no owner is
+    # known; each entry opens a link to each other one. Cause: it asks whether they hear an owner
+    # where there has never been one.
+    await open_parts(world)
+    links = sum(len(node._directory.links_by_name) for node in world.nodes.values())
+    fellows = ENTRIES / 2
+    assert_that(links, LessThan(3 * ENTRIES * (fellows + 6)))
+    assert_that(sum(world.deliveries.values()), LessThan(3 * ENTRIES * 150))
+
+
+async def test_links_of_a_former_cell_are_closed(world: World):
+    await world.open(entries=3, workers=8, cores=1.0)
+    for zone in "abc":
+        for number in range(9, 30):
+            world.add_worker(f"w-{zone}{number}", zone)
+    await asyncio.sleep(5)
+    assert_that(world.owners(), HasLength(3))
+    entry = world.nodes[world.entry_in("a")]
+    others = {link.peer.zone for link in entry._directory.links_by_name.values()}
+    assert_that(others, Equals({"a"}))
+
+
+async def test_one_owner_of_a_domain_reads_the_list_of_workers(world: World):
+    # Symptom: the store sends 50 MB a second with 1,500 workers. Sequence: each owner and three
+    # successors of each cell read each change of each worker. Cause: nobody passes it on.
+    await open_parts(world)
+    world.reads.clear()
+    await asyncio.sleep(10)
+    first = {name for name in world.owners() if home_of(world, name).part == 0}
+    assert_that(first, HasLength(3))
+    assert_that(readers_of_list(world), Equals(first))
+
+
+async def test_a_leaving_worker_of_a_cell_that_is_told_gets_nothing_new(world: World):
+    await open_parts(world)
+    owner = next(name for name in world.owners() if home_of(world, name).part == 1)
+    zone = world.nodes[owner].me.zone
+    worker = next(
+        w for w in world.workers.values() if home_of(world, owner).covers(zone, w.info.id)
+    )
+    leaving = worker.info.__class__(
+        **{name: getattr(worker.info, name) for name in worker.info.__struct_fields__}
+        | {"draining": True}
+    )
+    world.list_worker(leaving)
+    await asyncio.sleep(1.0)
+    at = world.loop.time()
+    await finish([submit(world, owner, f"job-{n}", count=4, run_ms=200) for n in range(3)])
+    started = [name for t, name, _, _ in world.starts if t >= at]
+    assert_that(len(started), GreaterThan(0))
+    assert_that(started.count(worker.info.id), Equals(0))
+
+
+async def test_an_owner_that_is_told_nothing_reads_for_itself(world: World):
+    # Symptom it guards against: workers that leave, or come, are not noticed in a cell whose
+    # informant is lost or cut off.
+    await open_parts(world)
+    owner = next(name for name in world.owners() if home_of(world, name).part == 1)
+    zone = world.nodes[owner].me.zone
+    first = next(
+        name
+        for name in world.owners()
+        if home_of(world, name).part == 0 and world.nodes[name].me.zone == zone
+    )
+    world.cut(owner, first)
+    world.reads.clear()
+    await asyncio.sleep(1.6)
+    assert_that(owner in readers_of_list(world), Equals(True))
+
+
+async def test_a_pool_of_parts_serves_jobs_after_the_loss_of_all_owners(world: World):
+    await open_parts(world)
+    for name in world.owners():
+        world.kill_node(name)
+    await asyncio.sleep(1.5)
+    jobs = [submit(world, name, f"job-{name}", run_ms=60) for name in list(world.nodes)]
+    await finish(jobs)
+    assert_that(verdicts(jobs), Equals({Verdict.SUCCEEDED}))
+
+
+def test_a_worker_that_stands_empty_is_asked_seldom():
+    waits = [
+        choose_wait_s(longest_s=0.25, next_end_s=end_s, lossy=False, empty_s=empty_s)
+        for end_s, empty_s in [(None, 0.5), (None, 5.0), (0.1, 0.0)]
+    ]
+    assert_that(waits, Equals([0.25, 0.9, 0.25]))
+
+
+async def test_a_run_of_a_worker_that_stood_empty_survives_the_loss_of_its_owner(world: World):
+    # Symptom it guards against: a run lapses in a take-over. Sequence: a worker stood empty and is
+    # in a long call; it gets a run; its owner is lost just before the call would end, and what is
+    # left of the lease by then is shorter than a take-over.
+    await world.open()
+    await asyncio.sleep(3)
+    owner = world.owners()[0]
+    entry = next(name for name in world.nodes if name != owner)
+    job = submit(world, entry, "job", run_ms=3000)
+    await asyncio.sleep(0.85)
+    world.kill_node(owner)
+    await finish([job])
+    assert_that(len(world.starts), Equals(2))
