--- a/bench/soak/_checks.py
+++ b/bench/soak/_checks.py
@@ -12,6 +12,8 @@
 
 # A leaving worker gets nothing new this long after it said so, if nothing disturbed meanwhile.
 DRAIN_S = 2.0
+# Workers of an evacuated zone get nothing new this long after the record, if nothing disturbed.
+EVACUATE_S = 1.0
 # Faults end this long before a bounded promise is held against zincwell.
 CALM_S = 4.0
 
@@ -75,6 +77,10 @@
         if since and time.monotonic() - since > DRAIN_S and self.is_calm():
             self.fail("DRAIN", f"{task} run {number} on {worker.id}, leaving since {since:.1f}")
 
+        since = worker.evacuated_since
+        if since and time.monotonic() - since > EVACUATE_S and self.is_calm():
+            self.fail("EVAC", f"{task} run {number} on {worker.id}, evacuated since {since:.1f}")
+
     def note_end(self, worker: StandInWorker, task: str, number: int, how: str) -> None:
         """Take note of an end at a worker."""
         self._running_by_task[task].remove((worker.id, number))
--- a/bench/soak/_faults.py
+++ b/bench/soak/_faults.py
@@ -24,6 +24,8 @@
 GAP_S = (0.0, 1.5)
 LENGTH_S = (0.3, 5.0)
 PAUSE_S = (0.2, 4.0)
+# What operators do by plan excuses nothing.
+PLANNED = {"evacuate"}
 
 
 class Faults:
@@ -86,9 +88,12 @@
 
     async def _play_one(self, kind: Callable[[], Awaitable[None]]) -> None:
         log.info("fault kind=%s", kind.__name__)
-        self._checks.disturb()
-        await kind()
-        self._checks.disturb()
+        if kind.__name__ in PLANNED:
+            await kind()
+        else:
+            self._checks.disturb()
+            await kind()
+            self._checks.disturb()
         log.info("fault_over kind=%s", kind.__name__)
 
     async def _last(self) -> None:
@@ -244,6 +249,23 @@
             worker.crash()
             self._list(worker)
 
+    async def evacuate(self) -> None:
+        """Ask as an operator that the workers of a zone get nothing new for a while.
+
+        Drawn only when it is asked for by name: the series of the other faults would be others.
+        """
+        zone = self._random.choice(sorted({worker.zone for worker in self._workers}))
+        workers = [worker for worker in self._workers if worker.zone == zone]
+        if workers[0].evacuated_since:
+            return
+        for worker in workers:
+            worker.evacuated_since = time.monotonic()
+        self._store.put(OPERATOR, f"evacuate/{zone}", b"{}")
+        await self._last()
+        for worker in workers:
+            worker.evacuated_since = None
+        self._store.put(OPERATOR, f"evacuate/{zone}", b"")
+
     async def worker_loses_answers(self) -> None:
         """Let answers of a worker to starts get lost."""
         worker = self._random.choice(self._workers)
--- a/bench/soak/_worker.py
+++ b/bench/soak/_worker.py
@@ -56,6 +56,7 @@
         """Begin a life that runs nothing and has seen no fencing token."""
         self.lives += 1
         self.draining_since: float | None = None
+        self.evacuated_since: float | None = None
         self._rate = self._random.uniform(0.98, 1.0)
         self._offset_ms = self._random.randint(1_000, 900_000)
         self._fence = 0
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -40,11 +40,24 @@
     assert_that(play_day(plan, tmp_path).broken, Equals([]))
 
 
+def test_evacuations_between_other_faults_keep_every_promise(tmp_path: Path):
+    kinds = ("evacuate", "evacuate", "kill_entry", "store_slow", "drain_entry", "cut_zone")
+    result = play_day(DayPlan(seed=7, faults=10, kinds=kinds), tmp_path)
+    assert_that(result.broken, Equals([]))
+    assert_that(result.answers_by_status["200"], GreaterThan(10))
+
+
+def test_an_evacuated_zone_gets_nothing_new(tmp_path: Path):
+    result = play_day(DayPlan(seed=8, faults=6, kinds=("evacuate",)), tmp_path)
+    assert_that(result.broken, Equals([]))
+
+
 class FakeWorker:
     """A worker as the checks see it."""
 
     id = "worker-1"
     draining_since = None
+    evacuated_since = None
 
 
 @pytest.fixture
