--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -43,6 +43,7 @@
 from zincwell.dispatch._metrics import Metrics
 from zincwell.dispatch._owner import Owner, OwnerListener
 from zincwell.dispatch._peers import Inbox, LinkObserver, PeerLink
+from zincwell.dispatch._reach import Reach
 from zincwell.dispatch._router import OwnerRouter
 from zincwell.dispatch._slowness import SlownessWatch
 from zincwell.dispatch._tasks import TaskGroup
@@ -55,6 +56,7 @@
     Outcome,
 )
 from zincwell.dispatch._worker_list import WorkerList
+from zincwell.dispatch._worker_news import WorkerTeller
 from zincwell.dispatch.ports import (
     PeerClient,
     Store,
@@ -81,12 +83,6 @@
 FIRST_LIST_S = 0.15
 # How often an entry looks whether it is to read the list of workers.
 LIST_LOOK_S = 0.2
-# Each so many heartbeats an owner that reads the list tells the other cells of its failure domain.
-NEWS_BEATS = 4
-# Each so many it tells the first of its successors in each failure domain, so that one of them is
-# well informed when it takes over or stands in, also while the store is away.
-SUCCESSOR_NEWS_BEATS = 20
-INFORMED_SUCCESSORS = 3
 # An entry that has no configuration so many seconds after its start refuses callers at once.
 STARTING_S = 0.4
 # The balancer takes an entry out after two probes of 1 s; until then callers still come.
@@ -95,9 +91,6 @@
 DRAIN_MARGIN_S = 0.8
 DRAIN_STEP_S = 0.05
 CLAIM_CHECK_S = 0.3
-# While domains are cut off, jobs of an entry that is silent for this long are stopped. Callers see
-# its death at once and send again 1.3 s later; a stop takes up to 0.2 s.
-ENTRY_LOST_S = 0.9
 # Each so many heartbeats owners tell other cells and their own entries how cells stand. Jobs go
 # elsewhere by reports that are this old, so callers of a burst wait at home for as long.
 REPORT_BEATS = 2
@@ -153,7 +146,6 @@
         self.configurations = ConfigurationKeeper(client=peers, metrics=self._metrics)
         self.evacuations = EvacuationKeeper(on_change=self._on_evacuations, metrics=self._metrics)
         self._owner: Owner | None = None
-        self._domains = DomainWatch(me=me)
         self._slowness = SlownessWatch()
         self._layouts = LayoutKeeper(
             me=me, store=store, board=self._board, on_layout=self.on_layout
@@ -181,6 +173,10 @@
             names_service=self._names_service,
             on_change=self._on_workers,
         )
+        self._teller = WorkerTeller(
+            board=self._board, directory=self._directory, worker_list=self._worker_list
+        )
+        self._watch_domains()
         self._entries_feed = TopicFollower(
             store=self._store,
             topic=Topic.ENTRIES,
@@ -199,6 +195,17 @@
         self._tasks.spawn(self._tend_layout_forever())
         self._tasks.spawn(self._tend_worker_list_forever())
 
+    def _watch_domains(self) -> None:
+        """Begin to watch which failure domains of the own cell can be heard."""
+        self._domains = DomainWatch(me=self.me)
+        self._reach = Reach(
+            me=self.me,
+            board=self._board,
+            directory=self._directory,
+            worker_list=self._worker_list,
+            domains=self._domains,
+        )
+
     def close(self) -> None:
         """Stop everything at once."""
         self.election.close()
@@ -377,7 +384,7 @@
         self._cells_new_until = self._loop.time() + CELLS_NEW_S
         self.election.close()
         self._close_owner()
-        self._domains = DomainWatch(me=self.me)
+        self._watch_domains()
         self._join_cell(at_once=True)
         self.desk.bring_home()
         self.desk.note_unsent(self._directory.withdraw_jobs(owners=()))
@@ -619,25 +626,6 @@
     def _follow_workers(self) -> None:
         self._worker_list.follow(owns=self._owner is not None)
 
-    def _tell_workers(self) -> None:
-        """Tell what the list of workers says to those who don't read it."""
-        if self._owner.domain is not None:
-            return
-        home = self._board.home
-        if self._beats % SUCCESSOR_NEWS_BEATS == 0:
-            news = self._worker_list.tell(home)
-            for entry in self._directory.first_successors(INFORMED_SUCCESSORS):
-                self._directory.link(entry).send(news)
-        # Not in the heartbeats that bring reports, or the links would never be idle here.
-        if home.part or home.parts == 1 or self._beats % NEWS_BEATS != 1:
-            return
-        for cell in self._board.other_cells():
-            owner = self._board.owner_of(cell.name)
-            if owner is not None and cell.domains == home.domains:
-                link = self._directory.link(owner)
-                if link.is_idle():
-                    link.send(self._worker_list.tell(cell))
-
     def on_job_ended(self, job: str, entries: set[str], outcome: Outcome) -> None:
         """Pass an answer to the entries whose callers wait for it."""
         fence, shared = self.election.fence, len(entries) > 1
@@ -686,11 +674,10 @@
             await asyncio.sleep(BEAT_S)
             if self._owner is not None:
                 self._watch_slowness(due_at)
-                if not self._worker_list.is_fresh():
-                    self._domains.note_list_unread()
                 self._send_beats()
-                self._tell_workers()
-                self._drop_jobs_out_of_reach()
+                if self._owner.domain is None:
+                    self._teller.tell(self._beats)
+                self._reach.drop_jobs_beyond(self._owner)
             elif self.election.owner is not None and self.election.silence_s() > SUSPECT_S:
                 self._turn_elsewhere(self.election.owner)
 
@@ -731,33 +718,7 @@
 
     def hears_all_domains(self) -> bool:
         """Return whether an entry of each failure domain answers, and has for a while."""
-        links = self._directory.links_by_name.values()
-        if self._worker_list.read_at() < self._elected_at:
-            # Workers that are new since this entry read the list may run something.
-            return False
-        return self._domains.hears_all(self._directory.fellows(), links)
-
-    def _drop_jobs_out_of_reach(self) -> None:
-        """Stop the jobs of entries that can't be heard because of a partition, or may be dead.
-
-        While failure domains are cut off from each other, the callers of an entry that dies may
-        send their jobs again to the other side, which would run them a second time.
-        """
-        entries = self._directory.fellows()
-        links_by_name = self._directory.links_by_name
-        lost = {name for name, link in links_by_name.items() if link.silence_s() > ENTRY_LOST_S}
-        # After a restart there may be a link to this VM's own life before, which never answers.
-        lost.discard(self.me.name)
-        if self._board.other_cells():
-            # The caller of an entry that died may send its job again to any cell, which would run
-            # it a second time beside this one.
-            self._owner.jobs.drop_jobs_of(lost, reason="entry lost")
-        cut_off = self._domains.find_cut_off(entries, links_by_name)
-        if not cut_off and self._owner.domain is None:
-            return
-        outside = {entry.name for entry in entries if entry.zone in cut_off}
-        self._owner.jobs.drop_jobs_of(outside, reason="failure domain cut off")
-        self._owner.jobs.drop_jobs_of(outside | lost, reason="entry lost during a partition")
+        return self._reach.hears_all_domains(elected_at=self._elected_at)
 
     async def _show_life_forever(self) -> None:
         """Show the store that the owner lives, for entries that can't hear it."""
