Say in a sentence what went wrong with a call of the command line

'zincwell status' on a port that nobody listens on printed a library's connection key with eight fields.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -351,3 +351,18 @@
     server.close()
 
     assert_that((process.returncode, err.decode()), Equals((130, "")))
+
+
+@pytest.mark.parametrize("command", ["status", "drain"])
+async def test_an_address_where_nobody_listens_is_said_in_a_sentence(command: str):
+    # Symptom: the person sees a library's connection key with eight fields. Cause: the error was
+    # printed as the library shows it to programmers.
+    found = await run(command, "http://127.0.0.1:1")
+    assert_that(found.code, Equals(FAILED))
+    assert_that(
+        found.err.strip(),
+        Equals(
+            "zincwell: http://127.0.0.1:1: connection refused: nothing listens there;"
+            " check host and port"
+        ),
+    )
--- a/zincwell/admin.py
+++ b/zincwell/admin.py
@@ -8,6 +8,7 @@
 import aiohttp
 import msgspec
 
+from zincwell._call_errors import describe_call_error
 from zincwell.adapters import make_client_tls
 from zincwell.core._publishing import Proposal
 from zincwell.exceptions import AdminError, OpenChangeError
@@ -111,7 +112,7 @@
             ):
                 return response.status, await response.read()
         except (*NETWORK_ERRORS, ValueError) as error:
-            raise AdminError(f"{self._url}: {error!r}") from error
+            raise AdminError(f"{self._url}: {describe_call_error(error)}") from error
 
 
 def _detail(body: bytes) -> str:
--- a/zincwell/client.py
+++ b/zincwell/client.py
@@ -19,6 +19,7 @@
 import msgspec
 from msgspec import Raw
 
+from zincwell._call_errors import describe_call_error
 from zincwell.exceptions import BadRequestError, ClientError, NotSentError
 from zincwell.models import (
     DEFAULT_DEADLINE_MS,
@@ -169,7 +170,7 @@
             async with self._session.delete(url, params=params) as response:
                 return decode_answer(await response.read())
         except NETWORK_ERRORS as error:
-            raise ClientError(f"{url}: {error!r}") from error
+            raise ClientError(f"{url}: {describe_call_error(error)}") from error
 
     async def _submit_until(
         self, submission: Submission, give_up_at: float, is_new: bool
@@ -227,9 +228,9 @@
             async with self._session.post(url, data=body, timeout=timeout) as response:
                 return decode_answer(await response.read())
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise NotSentError(f"{url}: {error!r}") from error
+            raise NotSentError(f"{url}: {describe_call_error(error)}") from error
         except (*NETWORK_ERRORS, BadRequestError) as error:
-            raise ClientError(f"{url}: {error!r}") from error
+            raise ClientError(f"{url}: {describe_call_error(error)}") from error
 
     async def _entry_clock(self) -> _EntryClock:
         """Return an entry's clock, so that a wrong clock here does no harm to our keys."""
@@ -241,7 +242,7 @@
                 self._clock = await self._read_clock(url)
                 return self._clock
             except NETWORK_ERRORS as error:
-                errors.append(f"{url}: {error!r}")
+                errors.append(f"{url}: {describe_call_error(error)}")
         raise ClientError("; ".join(errors))
 
     async def _read_clock(self, url: str) -> _EntryClock:
