Make cells as equal as they can be

Cause: cells were filled in turn, so with 64 workers a core three of four equal domains shared an owner and the fourth had one for itself (132 and 44 workers). Change: of all divisions with the fewest cells the one for the weakest owners. Test red before.

--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -59,6 +59,14 @@
     )
 
 
+def test_cells_are_as_equal_as_they_can_be():
+    # Symptom: first starts wait in bursts. Sequence: of four equal domains an owner could carry
+    # three, so three share one and the fourth is alone. Cause: cells are filled in turn.
+    assert_that(
+        domains_of(plan_cells(make_domains(30, carrying(100, 100)), [])), Equals(["ab", "cd"])
+    )
+
+
 def test_the_second_strongest_entry_decides():
     # The strongest one may be lost; the next has to carry the cell as well.
     domains = make_domains(30, carrying(80, 20), names="ab")
--- a/zincwell/dispatch/decisions/_cells.py
+++ b/zincwell/dispatch/decisions/_cells.py
@@ -23,6 +23,8 @@
 # owners of this share of their strength would do with fewer cells: a change moves all runs.
 TOO_LARGE = 1.25
 TOO_SMALL = 0.6
+# Strengths of owners, as parts of the whole, that are tried for the most equal cells.
+EVEN_STEPS = 20
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -74,13 +76,27 @@
         most = _count(_divide(domains, strength=TOO_SMALL))
         if fewest <= _count(current) <= most:
             return current
-    return _divide(domains, strength=1.0)
+    return _divide_evenly(domains)
 
 
 def _count(shapes: Sequence[CellShape]) -> int:
     return sum(shape.parts for shape in shapes)
 
 
+def _divide_evenly(domains: Mapping[str, DomainSize]) -> list[CellShape]:
+    """Return the fewest cells, as equal as they can be.
+
+    Filled one after the other, three domains would share an owner near its limit and the fourth
+    would have one for itself: bursts wait in the one while the other's workers stand empty.
+    """
+    fewest = _divide(domains, strength=1.0)
+    for step in range(1, EVEN_STEPS):
+        shapes = _divide(domains, strength=step / EVEN_STEPS)
+        if _count(shapes) == _count(fewest):
+            return shapes
+    return fewest
+
+
 def _divide(domains: Mapping[str, DomainSize], *, strength: float) -> list[CellShape]:
     """Return the fewest cells for owners of a strength, in the order of the domains' names."""
     shapes: list[CellShape] = []
