Look over the entries before the heartbeats, as before, and drop a way of reading that nobody uses

The heartbeats tell successors for how long all domains have been heard, so what is out of hearing has to be noted first; with the part taken out of the assembly it came after them.

--- a/zincwell/dispatch/_feeds.py
+++ b/zincwell/dispatch/_feeds.py
@@ -35,8 +35,6 @@
     :param pause_s: how long to wait between two reads.
     :ivar place: up to where in the store's log the topic is known, -1 before the first read.
     :ivar wanted: whether to read at all; while it is not, what is known grows old.
-    :ivar snapshots: read what is newest each time in place of what has changed. With long pauses
-        that is less: a worker writes every 1.5 s, and only its newest record counts.
     """
 
     def __init__(
@@ -53,7 +51,6 @@
         self.reachable = False
         self.pause_s = pause_s
         self.wanted = wanted
-        self.snapshots = False
         self.read_at = 0.0
         self.place = -1
         self._store = store
@@ -82,8 +79,6 @@
                 self._next = None
                 await self._pause()
                 continue
-            if self.snapshots:
-                self._next = None
             try:
                 await self._read()
                 self._note_reachable(True, "")
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -674,10 +674,11 @@
             await asyncio.sleep(BEAT_S)
             if self._owner is not None:
                 self._watch_slowness(due_at)
+                # First, so that the heartbeats say which domains are out of hearing by now.
+                self._reach.drop_jobs_beyond(self._owner)
                 self._send_beats()
                 if self._owner.domain is None:
                     self._teller.tell(self._beats)
-                self._reach.drop_jobs_beyond(self._owner)
             elif self.election.owner is not None and self.election.silence_s() > SUSPECT_S:
                 self._turn_elsewhere(self.election.owner)
 
