--- a/zincwell/platform/__main__.py
+++ b/zincwell/platform/__main__.py
@@ -12,7 +12,7 @@
     # takes it, it would end the process, which shows as an entry that is gone a moment after its
     # start without a line. The settings are read after this, so nothing is missed.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    from zincwell.platform._process import main  # After the signal: this takes 0.1 s.
+    from zincwell.platform._process import main  # After the signal: this takes 0.2 s.
 
     return main()
 
--- a/zincwell/platform/_http.py
+++ b/zincwell/platform/_http.py
@@ -33,8 +33,8 @@
 class HttpCaller:
     """Makes HTTP/1.1 calls over connections that are kept, each with one call at a time.
 
-    A start of a task costs an owner two calls, and a general client takes three times as long for
-    each as all the rest. This one knows a request line, a few headers and a body of known length.
+    A start of a task costs an owner two calls, and a general client takes five times as long for
+    each. This one knows a request line, a few headers and a body of known length.
     """
 
     def __init__(self) -> None:
--- a/zincwell/platform/_server.py
+++ b/zincwell/platform/_server.py
@@ -58,7 +58,7 @@
     """Answers requests at one address.
 
     A general server and client take 14 MB and a quarter of a second of a core to be loaded. That
-    is half of an entry's memory, and after a restart callers find nobody for as long.
+    is a third of an entry's memory, and after a restart callers find nobody for as long.
 
     :param handler: answers one request; it is cancelled when the caller's connection ends.
     :param body_limit: returns the most bytes that a body may have now.
