Log and measure how old the list of workers is that a start relies on

The three hypotheses on leaving workers that got work differ in the age of the list, in where it came from, and in the moment (a take-over, news, or none). Logs showed none of it. Now: `list_source` when the list comes from somewhere else than before, `workers_known` with its age when an entry becomes owner, `list_age_ms` in `job_started`, and the histogram `start_list_age_seconds`.

--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -91,6 +91,8 @@
 DRAIN_MARGIN_S = 0.8
 DRAIN_STEP_S = 0.05
 CLAIM_CHECK_S = 0.3
+# Stands in logs for the age of a list that was never read, in seconds.
+NEVER_READ_S = 3600.0
 # Each so many heartbeats owners tell other cells and their own entries how cells stand. Jobs go
 # elsewhere by reports that are this old, so callers of a burst wait at home for as long.
 REPORT_BEATS = 2
@@ -249,6 +251,7 @@
             "entries_known": len(self._directory.entries_by_name),
             "cells": len(self._board.layout.cells),
             "domains_evacuated": len(self.evacuations.domains),
+            "worker_list_age_seconds": self._worker_list.age_s(),
         }
         if self._owner is not None:
             gauges.update(self._owner.gauges())
@@ -502,7 +505,7 @@
         elif isinstance(message, CellReport):
             self._board.note_report(message)
         elif isinstance(message, WorkerNews):
-            self._worker_list.note_news(message)
+            self._worker_list.note_news(message, entry=sender.name)
         elif isinstance(message, LayoutNotice):
             self._follow_layout(message.offset, message.layout)
         elif isinstance(message, Beat):
@@ -541,6 +544,10 @@
             done=message.done,
         )
 
+    def list_age_s(self) -> float:
+        """Return how old the list of workers is that is known here, in seconds."""
+        return self._worker_list.age_s()
+
     def own_fence(self) -> int:
         """Return the fencing token of this entry if it is owner, else 0."""
         return self._owner.fence if self._owner is not None else 0
@@ -609,6 +616,12 @@
             )
             self._owner.evacuate(self.evacuations.domains)
         self._elected_at = self._loop.time()
+        log.info(
+            "workers_known workers=%d from=%s age_ms=%d",
+            len(self._worker_list.listed_by_id),
+            self._worker_list.source,
+            min(self._worker_list.age_s(), NEVER_READ_S) * 1000,
+        )
         self._follow_workers()
         self._worker_list.read_soon()
         self._owner.set_workers(self._worker_list.listed_by_id)
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -86,6 +86,10 @@
     def knows_evacuations(self) -> bool:
         """Return whether it is known which failure domains are evacuated."""
 
+    @abc.abstractmethod
+    def list_age_s(self) -> float:
+        """Return how old the list of workers is that is known here, in seconds."""
+
     @abc.abstractmethod
     def on_superseded(self) -> None:
         """Find out who the owner is: a worker obeys a higher fencing token."""
@@ -141,6 +145,7 @@
             may_run_unseen=self._may_run_unseen,
             next_run_number=self._next_run_number,
             run_times=self._run_times,
+            list_age_s=listener.list_age_s,
             metrics=metrics,
         )
         self._overload = OverloadControl(
--- a/zincwell/dispatch/_scheduler.py
+++ b/zincwell/dispatch/_scheduler.py
@@ -27,6 +27,7 @@
         so that it must not start yet.
     :param next_run_number: returns the number of the next run of a task.
     :param run_times: how long tasks take.
+    :param list_age_s: returns how old the list of workers is that starts rely on, in seconds.
     """
 
     def __init__(
@@ -37,6 +38,7 @@
         may_run_unseen: Callable[[Job, float], bool],
         next_run_number: Callable[[Task], int],
         run_times: JobRunTimes,
+        list_age_s: Callable[[], float],
         metrics: Metrics,
     ) -> None:
         self.queue = JobQueue()
@@ -46,6 +48,7 @@
         self._may_run_unseen = may_run_unseen
         self._next_run_number = next_run_number
         self._run_times = run_times
+        self._list_age_s = list_age_s
         self._metrics = metrics
         self._planned = False
         self._loop = asyncio.get_running_loop()
@@ -107,14 +110,17 @@
             ordered_at=now,
             expected_s=self._run_times.expect_task_s(job, task.id.step),
         )
+        list_age_s = self._list_age_s()
+        self._metrics.record("start_list_age", list_age_s)
         if not job.started:
             labels = f'route="{job.request.route}"'
             self._metrics.record("job_queueing", now - job.arrived_at, labels)
             log.info(
-                "job_started job=%s wait_ms=%d worker=%s",
+                "job_started job=%s wait_ms=%d worker=%s list_age_ms=%d",
                 job.request.id,
                 (now - job.arrived_at) * 1000,
                 session.info.id,
+                list_age_s * 1000,
             )
         job.mark_running(task)
         session.start(run, spec=job.request.spec)
--- a/zincwell/dispatch/_worker_list.py
+++ b/zincwell/dispatch/_worker_list.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import math
 from collections.abc import Callable
 
@@ -14,6 +15,8 @@
 from zincwell.dispatch._types import WorkerInfo
 from zincwell.dispatch.ports import Store, Topic
 
+log = logging.getLogger("zincwell.workers")
+
 # Leaving workers must get nothing new 2 s after they said so; an owner reads often enough to be
 # done by then with one read lost.
 READ_PAUSE_S = 0.4
@@ -46,6 +49,7 @@
         self._on_change = on_change
         self._listing = WorkerListing()
         self._news_read_at = -math.inf
+        self._source = ""
         self._loop = asyncio.get_running_loop()
         self._feed = TopicFollower(
             store=store,
@@ -72,6 +76,15 @@
         """Return when the list was read that is known here, by the loop's clock."""
         return max(self._feed.read_at, self._news_read_at)
 
+    def age_s(self) -> float:
+        """Return how old the list is that is known here, in seconds; infinite before the first."""
+        return self._loop.time() - self.read_at() if self._source else math.inf
+
+    @property
+    def source(self) -> str:
+        """Where the list comes from: ``store``, or the name of the entry that told of it."""
+        return self._source
+
     def is_fresh(self) -> bool:
         """Return whether the list can be read, here or by who tells of it."""
         return self._feed.reachable or self._has_fresh_news()
@@ -97,7 +110,7 @@
         if self._feed.read_at < self._news_read_at:
             return
         infos = [record.value for record in self._feed.records_by_key.values()]
-        self._update([info for info in infos if isinstance(info, WorkerInfo)])
+        self._update([info for info in infos if isinstance(info, WorkerInfo)], source="store")
 
     def tell(self, cell: Cell) -> WorkerNews:
         """Return what another owner or a successor should know of a cell's workers."""
@@ -109,7 +122,7 @@
         age_s = round(self._loop.time() - self.read_at(), 3)
         return WorkerNews(cell=cell.name, workers=covered, age_s=age_s)
 
-    def note_news(self, news: WorkerNews) -> None:
+    def note_news(self, news: WorkerNews, *, entry: str) -> None:
         """Take note of what another entry has read.
 
         News that are older than an own reading change nothing, but there is no need to go on
@@ -120,9 +133,12 @@
             return
         self._news_read_at = read_at
         if read_at > self._feed.read_at:
-            self._update(news.workers)
+            self._update(news.workers, source=entry)
 
-    def _update(self, infos: list[WorkerInfo]) -> None:
+    def _update(self, infos: list[WorkerInfo], *, source: str) -> None:
+        if source != self._source:
+            self._source = source
+            log.info("list_source from=%s age_ms=%d", source, self.age_s() * 1000)
         self._listing.update({i.id: i for i in infos if self._names_service(i.service)})
         self._on_change()
 
