--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -1,7 +1,8 @@
 """A platform held in memory: store, workers and network with faults, for tests of the dispatcher.
 
 It judges what workers see: two runs of a task at the same time, starts by order of a lower
-fencing token, starts of jobs whose callers were all told that nothing runs.
+fencing token, starts of jobs whose callers were all told that nothing runs, starts on workers that
+have said for a while that they leave.
 """
 
 from __future__ import annotations
@@ -53,6 +54,8 @@
 STORE_S = 0.004
 MAX_LEASE_S = 1.0
 STOP_S = 0.04
+# A worker that has said that it leaves gets nothing new after this many seconds.
+LEAVE_NOTICE_S = 2.0
 
 
 @dataclass
@@ -205,6 +208,7 @@
         self.starts: list[tuple[float, str, TaskId, int]] = []
         self.violations: list[str] = []
         self.evacuated_at_by_zone: dict[str, float] = {}
+        self.leaving_since_by_worker: dict[str, float] = {}
         self.lose_start_answers: set[str] = set()
         self.verdicts_by_job: dict[str, set[Verdict]] = defaultdict(set)
         self.calls_by_node: dict[str, set[asyncio.Future]] = {}
@@ -216,6 +220,8 @@
         # each link is taken.
         self.link_s_of_call: float = 0.0
         self.link_free_at: dict[str, float] = defaultdict(float)
+        # Seconds that it takes to list the workers: a large pool takes several pages.
+        self.listing_s: float = 0.0
         self.slow_ways: set[tuple[str, str]] = set()
         self.late_envelopes: list[tuple[str, Envelope]] = []
         self.reads: Counter[tuple[str, Topic]] = Counter()
@@ -271,6 +277,13 @@
         key = info.id if info else worker_id
         self._append(Topic.WORKERS, key, msgspec.json.encode(info) if info else b"")
 
+    def leave(self, worker_id: str) -> None:
+        """Let a worker say that it leaves."""
+        worker = self.workers[worker_id]
+        worker.info = msgspec.structs.replace(worker.info, draining=True)
+        self.list_worker(worker.info)
+        self.leaving_since_by_worker[worker_id] = self.loop.time()
+
     def publish(self, version: int) -> None:
         route = Route(name="r", host="h", prefix="/q/", service="svc", objective_ms=200)
         configuration = Configuration(version=version, routes=[route])
@@ -352,7 +365,14 @@
         return self.cpu_by_job.get(task.job, 27_000)
 
     def note_start(self, worker: FakeWorker, order: StartOrder) -> None:
-        self.starts.append((self.loop.time(), worker.info.id, order.task, order.run))
+        now = self.loop.time()
+        self.starts.append((now, worker.info.id, order.task, order.run))
+        leaving_s = now - self.leaving_since_by_worker.get(worker.info.id, now)
+        if leaving_s > LEAVE_NOTICE_S:
+            self.violations.append(
+                f"{now:.3f}: {order.task} starts on {worker.info.id}, which leaves since "
+                f"{leaving_s:.3f} s"
+            )
         for other in self.workers.values():
             if order.task in other.runs:
                 self.violations.append(
@@ -557,7 +577,9 @@
     async def newest(self, topic: Topic) -> StorePage:
         self._world.reads[self._name, topic] += 1
         await self._reach()
-        rows = self._world.topics[topic]
+        rows = list(self._world.topics[topic])
+        if topic is Topic.WORKERS:
+            await asyncio.sleep(self._world.listing_s)
         newest = {key: offset for offset, (key, _) in enumerate(rows)}
         records = [_record(topic, offset, *rows[offset]) for offset in newest.values()]
         return StorePage(records=records, end=len(rows))
--- /dev/null
+++ b/tests/test_leaving_workers.py
@@ -0,0 +1,103 @@
+"""Workers that leave, and owners whose list of workers is old."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Contains, Equals, GreaterThan, LessThan
+
+from tests.dispatch_world import LEAVE_NOTICE_S, World
+from tests.pool_jobs import finish, submit
+from tests.test_large_pools import open_parts
+
+pytestmark = pytest.mark.looptime
+
+
+def owners_of_parts(world: World, zone: str) -> list[str]:
+    """Return the owners of the parts of a failure domain, the one that reads the list first."""
+    owners = [name for name in world.owners() if world.nodes[name].me.zone == zone]
+    return sorted(owners, key=lambda name: world.nodes[name]._board.home.part)
+
+
+def worker_of(world: World, owner: str) -> str:
+    """Return a worker of an owner's cell."""
+    cell = world.nodes[owner]._board.home
+    return next(w.info.id for w in world.workers.values() if cell.covers(w.info.zone, w.info.id))
+
+
+async def wait_for_owner(world: World) -> str:
+    while not world.owners():
+        await asyncio.sleep(0.001)
+    return world.owners()[0]
+
+
+@pytest.mark.parametrize("killed_after_s", [1.5, 1.6, 1.7])
+@pytest.mark.parametrize("leaves_after_s", [0.0, 0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 1.75])
+async def test_a_successor_starts_nothing_on_a_worker_that_said_it_leaves(
+    world: World, leaves_after_s: float, killed_after_s: float
+):
+    # Guards against a new owner that begins with the list of workers that it was told of earlier.
+    await world.open()
+    await asyncio.sleep(leaves_after_s)
+    world.leave("w-a1")
+    await asyncio.sleep(killed_after_s)
+    world.kill_node(world.owners()[0])
+    successor = await wait_for_owner(world)
+    await finish([submit(world, successor, f"job-{n}", count=4) for n in range(8)])
+    assert_that(len(world.starts), GreaterThan(0))
+
+
+async def test_an_owner_that_was_no_successor_for_long_begins_with_a_new_list(world: World):
+    # Guards against a list of any age: an entry is told no more once others rank before it.
+    await world.open(zones="a", workers=3)
+    for number in range(3, 7):
+        world.add_node(f"e-a{number}", "a")
+    await asyncio.sleep(4)
+    last = world.entry_in("a")
+    world.leave("w-a1")
+    await asyncio.sleep(5)
+    for name in [name for name in world.nodes if name != last]:
+        world.kill_node(name)
+    successor = await wait_for_owner(world)
+    assert_that(successor, Equals(last))
+    await finish([submit(world, successor, f"job-{n}", count=4) for n in range(8)])
+    assert_that(len(world.starts), GreaterThan(0))
+
+
+@pytest.mark.parametrize("slow_after_s", [0.2, 0.3])
+@pytest.mark.parametrize("arrives_after_s", [5.1, 5.2])
+async def test_news_of_the_list_that_come_late_do_not_replace_what_was_read_since(
+    world: World, arrives_after_s: float, slow_after_s: float
+):
+    # Guards against news that look new because their age stood still on the way.
+    await open_parts(world)
+    first, second = owners_of_parts(world, "a")
+    await asyncio.sleep(slow_after_s)
+    world.slow_ways.add((first, second))
+    await asyncio.sleep(0.5)
+    world.leave(worker_of(world, second))
+    await asyncio.sleep(arrives_after_s)
+    assert_that(world.owners(), Contains(second))
+    world.deliver_late()
+    jobs = [submit(world, second, f"job-{n}", count=8) for n in range(8)]
+    await finish(jobs)
+    assert_that(len(world.starts), GreaterThan(0))
+
+
+async def test_an_owner_that_is_told_no_more_starts_nothing_by_an_old_list(world: World):
+    # Guards against a list that is not read in time once nobody tells of it.
+    await open_parts(world)
+    first, second = owners_of_parts(world, "a")
+    world.listing_s = 0.8
+    world.cut(first, second)
+    jobs, ages = [], []
+    for number in range(100):
+        jobs.append(submit(world, second, f"job-{number}", count=4, run_ms=100))
+        started = len(world.starts)
+        await asyncio.sleep(0.03)
+        if len(world.starts) > started:
+            ages.append(world.nodes[second].list_age_s())
+    await finish(jobs)
+    assert_that(max(ages), LessThan(LEAVE_NOTICE_S))
