Start nothing by a list of workers that is older than leaving workers allow

Cause: an owner took whatever list it had for the list of now. A successor is told each 2 s, or not at all if three others of its failure domain rank before it, and an election is over before the store has answered its first reading; OPENING_S does not hold it back once all workers have answered.

Change: tasks are started only by a list younger than 0.85 of the notice that leaving workers give (a setting of the platform), or while the store gives no answer, or none within 1 s. So whatever way the list took, a worker that said so more than the notice before can't get anything. So as not to wait for it, an entry reads the list while its claim is on its way; one that is told no more reads at once in place of after a pause.

--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -35,6 +35,9 @@
     def on_owner_heard(self):
         pass
 
+    def on_claiming(self):
+        pass
+
     def on_owner(self, owner, fence, domain):
         self.owners.append(owner.name)
 
--- a/tests/test_leaving_workers.py
+++ b/tests/test_leaving_workers.py
@@ -15,6 +15,12 @@
 pytestmark = pytest.mark.looptime
 
 
+async def wait_for_owner(world: World) -> str:
+    while not world.owners():
+        await asyncio.sleep(0.001)
+    return world.owners()[0]
+
+
 def owners_of_parts(world: World, zone: str) -> list[str]:
     """Return the owners of the parts of a failure domain, the one that reads the list first."""
     owners = [name for name in world.owners() if world.nodes[name].me.zone == zone]
@@ -27,12 +33,6 @@
     return next(w.info.id for w in world.workers.values() if cell.covers(w.info.zone, w.info.id))
 
 
-async def wait_for_owner(world: World) -> str:
-    while not world.owners():
-        await asyncio.sleep(0.001)
-    return world.owners()[0]
-
-
 @pytest.mark.parametrize("killed_after_s", [1.5, 1.6, 1.7])
 @pytest.mark.parametrize("leaves_after_s", [0.0, 0.25, 0.5, 0.75, 1.0, 1.25, 1.5, 1.75])
 async def test_a_successor_starts_nothing_on_a_worker_that_said_it_leaves(
@@ -66,6 +66,27 @@
     assert_that(len(world.starts), GreaterThan(0))
 
 
+async def test_a_new_owner_serves_by_an_old_list_while_the_store_gives_no_answer(world: World):
+    # Guards against waiting for a list that is not to be had.
+    await world.open()
+    await asyncio.sleep(1.9)
+    world.kill_node(world.owners()[0])
+    successor = await wait_for_owner(world)
+    world.store_down_for.update(world.nodes)
+    await asyncio.sleep(1)
+    await finish([submit(world, successor, "job", run_ms=60)], within_s=0.2)
+
+
+async def test_a_new_owner_does_not_wait_long_for_a_slow_list(world: World):
+    # Guards against serving nobody for as long as a slow store takes for all pages of the list.
+    await world.open()
+    world.listing_s = 5.0
+    await asyncio.sleep(1.9)
+    world.kill_node(world.owners()[0])
+    successor = await wait_for_owner(world)
+    await finish([submit(world, successor, "job", run_ms=60)], within_s=1.2)
+
+
 @pytest.mark.parametrize("slow_after_s", [0.2, 0.3])
 @pytest.mark.parametrize("arrives_after_s", [5.1, 5.2])
 async def test_news_of_the_list_that_come_late_do_not_replace_what_was_read_since(
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -57,6 +57,7 @@
 limits.cores=2
 bounds.maxHoldMs=800
 bounds.graceS=5
+bounds.drainMs=1500
 somethingNew=1
 """
 JOB_ID = "5c0e7a21d94b36f8"
@@ -197,7 +198,9 @@
     assert_that(settings.cores, Equals(1.0))
     assert_that(
         settings.limits,
-        MatchesStructure.byEquality(max_lease_s=0.8, thaw_slack_s=0.3, drain_grace_s=5),
+        MatchesStructure.byEquality(
+            max_lease_s=0.8, thaw_slack_s=0.3, drain_grace_s=5, leave_notice_s=1.5
+        ),
     )
 
 
--- a/zincwell/dispatch/_election.py
+++ b/zincwell/dispatch/_election.py
@@ -91,6 +91,10 @@
     async def divide_first(self) -> bool:
         """Divide a pool that nobody has owned yet, if it needs several owners; return if so."""
 
+    @abc.abstractmethod
+    def on_claiming(self) -> None:
+        """Prepare for owning the cell: a claim is on its way to the store."""
+
     @abc.abstractmethod
     def on_owner(self, owner: EntryInfo, fence: int, domain: str) -> None:
         """Follow another entry as owner."""
@@ -456,6 +460,7 @@
         1.4 s, since they may run unseen. A claim of another cell that comes between is no reason
         to wait, nor is it one to give up.
         """
+        self._observer.on_claiming()
         known = self._claim_offset
         if known < 0 and self.cell is WHOLE_POOL and await self._observer.divide_first():
             return
--- a/zincwell/dispatch/_feeds.py
+++ b/zincwell/dispatch/_feeds.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 
 from zincwell.dispatch._tasks import TaskGroup
@@ -24,6 +25,8 @@
 # While the store does not answer, the pause grows up to this. All entries ask for each of their
 # topics: 42 entries with 0.15 s made 1,100 calls a second that nobody answered.
 MAX_RETRY_PAUSE_S = 0.6
+# A reading that takes longer is not waited for: the store is slow, and what is known must do.
+PATIENCE_S = 1.0
 
 
 class TopicFollower:
@@ -59,6 +62,8 @@
         self._wait_s = wait_s
         self._kick = asyncio.Event()
         self._next: int | None = None
+        self._failures = 0
+        self._asked_at = math.inf
         self._loop = asyncio.get_running_loop()
         self._tasks = TaskGroup()
         self._tasks.spawn(self._follow_forever())
@@ -71,12 +76,17 @@
         """Read at once in place of at the end of the pause."""
         self._kick.set()
 
+    def is_unanswered(self) -> bool:
+        """Return whether nothing newer is to be had: the store gives no answer, or a slow one."""
+        waits_s = self._loop.time() - self._asked_at
+        return self.wanted and (self._failures > 0 or waits_s > PATIENCE_S)
+
     async def _follow_forever(self) -> None:
-        failures = 0
         while True:
             if not self.wanted:
                 # What has changed meanwhile may be much more than what is newest.
                 self._next = None
+                self._failures = 0
                 await self._pause()
                 continue
             try:
@@ -87,11 +97,11 @@
                 self._next = None
                 continue
             except StoreUnavailableError as error:
-                failures += 1
+                self._failures += 1
                 self._note_reachable(False, str(error))
-                await asyncio.sleep(min(RETRY_PAUSE_S * failures, MAX_RETRY_PAUSE_S))
+                await asyncio.sleep(min(RETRY_PAUSE_S * self._failures, MAX_RETRY_PAUSE_S))
                 continue
-            failures = 0
+            self._failures = 0
             if self.pause_s:
                 await self._pause()
 
@@ -104,14 +114,18 @@
         self._kick.clear()
 
     async def _read(self) -> None:
-        if self._next is None:
-            page = await self._store.newest(self._topic)
-            self._note_read(page)
-            self._replace(page)
-        else:
-            page = await self._store.changes(self._topic, start=self._next, wait_s=self._wait_s)
-            self._note_read(page)
-            self._fold(page)
+        self._asked_at = self._loop.time()
+        try:
+            if self._next is None:
+                page = await self._store.newest(self._topic)
+                self._note_read(page)
+                self._replace(page)
+            else:
+                page = await self._store.changes(self._topic, start=self._next, wait_s=self._wait_s)
+                self._note_read(page)
+                self._fold(page)
+        finally:
+            self._asked_at = math.inf
 
     def _note_read(self, page: StorePage) -> None:
         """Note the reading before its records are offered: who takes them asks how old they are."""
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -172,6 +172,7 @@
         self._worker_list = WorkerList(
             store=self._store,
             board=self._board,
+            leave_notice_s=self._limits.leave_notice_s,
             names_service=self._names_service,
             on_change=self._on_workers,
         )
@@ -544,6 +545,14 @@
             done=message.done,
         )
 
+    def knows_leaving_workers(self) -> bool:
+        """Return whether the list of workers is young enough to start tasks by it.
+
+        A stand-in does not wait for it: it serves because the store does not answer here.
+        """
+        stands_in = self._owner is not None and self._owner.domain is not None
+        return stands_in or self._worker_list.is_usable()
+
     def list_age_s(self) -> float:
         """Return how old the list of workers is that is known here, in seconds."""
         return self._worker_list.age_s()
@@ -582,6 +591,10 @@
 
     # -- the owner's part -------------------------------------------------------------------
 
+    def on_claiming(self) -> None:
+        """Read the list of workers now, so that it is known when the claim has come through."""
+        self._worker_list.read_soon()
+
     def on_owner(self, owner: EntryInfo, fence: int, domain: str) -> None:
         """Follow another entry as owner."""
         self._slowness.end_term(self._loop.time())
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -86,6 +86,10 @@
     def knows_evacuations(self) -> bool:
         """Return whether it is known which failure domains are evacuated."""
 
+    @abc.abstractmethod
+    def knows_leaving_workers(self) -> bool:
+        """Return whether the list of workers is young enough to start tasks by it."""
+
     @abc.abstractmethod
     def list_age_s(self) -> float:
         """Return how old the list of workers is that is known here, in seconds."""
@@ -225,9 +229,10 @@
     def _may_begin(self, now: float) -> bool:
         """Return whether tasks may be started yet; see `OPENING_S`.
 
-        An owner that has just started may hear of jobs before it hears of evacuations.
+        An owner that has just started may hear of jobs before it hears of evacuations. What it
+        knows of the workers it may have been told some time ago.
         """
-        if not self._listener.knows_evacuations():
+        if not self._listener.knows_evacuations() or not self._listener.knows_leaving_workers():
             return False
         return now - self._opened_at >= OPENING_S or self._workers.all_asked()
 
@@ -526,7 +531,8 @@
             now = self._loop.time()
             self._refuse_hopeless(now)
             self._stop_strangers(now)
-            if any(job.exposed and job.waiting for job in self.jobs.jobs_by_id.values()):
+            exposed = any(job.exposed and job.waiting for job in self.jobs.jobs_by_id.values())
+            if exposed or self._scheduler.waits:
                 self.on_room()
 
     def _refuse_hopeless(self, now: float) -> None:
--- a/zincwell/dispatch/_scheduler.py
+++ b/zincwell/dispatch/_scheduler.py
@@ -43,6 +43,8 @@
     ) -> None:
         self.queue = JobQueue()
         self.suspended = False
+        # Whether nothing was placed the last time since nothing may be started yet.
+        self.waits = False
         self._sessions_by_id = sessions_by_id
         self._may_begin = may_begin
         self._may_run_unseen = may_run_unseen
@@ -61,11 +63,12 @@
 
     def place(self) -> None:
         """Start what can start now."""
-        self._planned = False
+        self._planned = self.waits = False
         if self.suspended or not len(self.queue):
             return
         now = self._loop.time()
-        if not self._may_begin(now):
+        self.waits = not self._may_begin(now)
+        if self.waits:
             return
         room_by_service = self._find_room(self.queue.smallest_cpu(), now)
         if not room_by_service:
--- a/zincwell/dispatch/_types.py
+++ b/zincwell/dispatch/_types.py
@@ -14,11 +14,13 @@
     :param max_lease_s: longest lease that a worker grants.
     :param thaw_slack_s: how long a worker that was paused may run on past its lease.
     :param drain_grace_s: time between SIGTERM and SIGKILL.
+    :param leave_notice_s: how long after it has said that it leaves a worker may get new work.
     """
 
     max_lease_s: float = 1.0
     thaw_slack_s: float = 0.3
     drain_grace_s: float = 6.0
+    leave_notice_s: float = 2.0
 
 
 class TaskId(NamedTuple):
--- a/zincwell/dispatch/_worker_list.py
+++ b/zincwell/dispatch/_worker_list.py
@@ -22,6 +22,11 @@
 READ_PAUSE_S = 0.4
 # News of the list that is older than this counts as missed, and an owner reads the list itself.
 NEWS_FRESH_S = 1.0
+# Part of a leaving worker's notice that the list may be old when tasks are started by it. The rest
+# is for the way of the order to the worker.
+USABLE_SHARE = 0.85
+# An owner that reads each 0.4 s could hardly ever start tasks by a list that must be younger.
+LEAST_USABLE_S = 0.6
 
 
 class WorkerList:
@@ -32,6 +37,7 @@
     failure domain reads it and tells the others there; successors hear it from their owner. Who
     hears nothing reads for itself.
 
+    :param leave_notice_s: how long after it has said that it leaves a worker may get new work.
     :param names_service: tells whether the configuration names a service.
     :param on_change: called when the list may have changed.
     """
@@ -41,10 +47,12 @@
         *,
         store: Store,
         board: CellBoard,
+        leave_notice_s: float,
         names_service: Callable[[str], bool],
         on_change: Callable[[], None],
     ) -> None:
         self._board = board
+        self._usable_s = max(leave_notice_s * USABLE_SHARE, LEAST_USABLE_S)
         self._names_service = names_service
         self._on_change = on_change
         self._listing = WorkerListing()
@@ -85,24 +93,35 @@
         """Where the list comes from: ``store``, or the name of the entry that told of it."""
         return self._source
 
+    def is_usable(self) -> bool:
+        """Return whether tasks may be started by the list.
+
+        A worker may have said that it leaves after an old list was read. While the store gives
+        no answer there is nothing newer, and the list holds as it was.
+        """
+        return self.age_s() < self._usable_s or self._feed.is_unanswered()
+
     def is_fresh(self) -> bool:
         """Return whether the list can be read, here or by who tells of it."""
         return self._feed.reachable or self._has_fresh_news()
 
     def follow(self, *, owns: bool) -> None:
         """Read the list as closely as this entry's part asks for."""
-        self._feed.wanted = owns and not self._has_fresh_news()
+        wanted = owns and not self._has_fresh_news()
+        if wanted and not self._feed.wanted:
+            self._feed.read_soon()
+        self._feed.wanted = wanted
 
     async def read_now(self, *, within_s: float) -> None:
         """Begin to read at once, and wait for the first reading for a limited time."""
-        self._feed.wanted = True
-        self._feed.read_soon()
+        self.read_soon()
         until = self._loop.time() + within_s
         while self._feed.read_at == 0 and self._loop.time() < until:
             await asyncio.sleep(within_s / 10)
 
     def read_soon(self) -> None:
-        """Read at once in place of at the end of the pause."""
+        """Read at once, also if others tell of the list."""
+        self._feed.wanted = True
         self._feed.read_soon()
 
     def refresh(self) -> None:
