Order lists of workers by their place in the log, and count the way of news in their age

What operators could see: a worker that has said that it leaves gets work again, for up to half a second, long after its owner had known it.

Cause: news of the list said how old the reading was when the message was written. That age stood still while the message waited for its delivery, and while the teller's VM was suspended, whose clock stands; so old news replaced a newer own reading. Which list was the newer one was told by these moments, though the store's log has places. Two more of the same kind: an owner that was suspended took its list for new when it woke, and an entry that had been told of its own cell alone told other cells that they have no workers.

Change: a list is known up to a place in the log, and the higher place wins; when it was read is stamped by the clock that also stamps envelopes and that counts suspension, so the receiver can add the time under way; what is known of one cell is not told as if it were all. An owner whose list is too old asks at once.

--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -222,6 +222,8 @@
         self.link_free_at: dict[str, float] = defaultdict(float)
         # Seconds that it takes to list the workers: a large pool takes several pages.
         self.listing_s: float = 0.0
+        # Seconds for which VMs were suspended; the loop's clock does not count them.
+        self.suspended_s: dict[str, float] = defaultdict(float)
         self.slow_ways: set[tuple[str, str]] = set()
         self.late_envelopes: list[tuple[str, Envelope]] = []
         self.reads: Counter[tuple[str, Topic]] = Counter()
@@ -316,6 +318,7 @@
             workers=CallsFrom(world=self, name=name, zone=zone),
             peers=PeersOf(world=self, name=name, zone=zone),
             limits=Limits(),
+            clock=lambda: self.loop.time() + self.suspended_s[name],
         )
         self.nodes[name] = node
         node.open()
--- a/tests/test_leaving_workers.py
+++ b/tests/test_leaving_workers.py
@@ -6,7 +6,7 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, GreaterThan, LessThan
+from testtools.matchers import Contains, Equals, GreaterThan, Is, LessThan
 
 from tests.dispatch_world import LEAVE_NOTICE_S, World
 from tests.pool_jobs import finish, submit
@@ -107,6 +107,21 @@
     assert_that(len(world.starts), GreaterThan(0))
 
 
+@pytest.mark.parametrize("read_before_s", [0.0, 0.1, 0.2, 0.3])
+async def test_an_owner_that_was_suspended_reads_the_list_before_it_starts_anything(
+    world: World, read_before_s: float
+):
+    # Guards against a list that looks new since the loop's clock stood still.
+    await world.open()
+    await asyncio.sleep(read_before_s)
+    owner = world.owners()[0]
+    world.leave("w-a1")
+    world.leaving_since_by_worker["w-a1"] -= 3
+    world.suspended_s[owner] += 3
+    await finish([submit(world, owner, f"job-{n}", count=4) for n in range(8)])
+    assert_that(len(world.starts), GreaterThan(0))
+
+
 async def test_an_owner_that_is_told_no_more_starts_nothing_by_an_old_list(world: World):
     # Guards against a list that is not read in time once nobody tells of it.
     await open_parts(world)
@@ -122,3 +137,15 @@
             ages.append(world.nodes[second].list_age_s())
     await finish(jobs)
     assert_that(max(ages), LessThan(LEAVE_NOTICE_S))
+
+
+async def test_an_entry_tells_only_of_workers_that_it_knows(world: World):
+    # Guards against telling another cell that it has no workers, by a list of the own cell alone.
+    await open_parts(world)
+    first, _ = owners_of_parts(world, "a")
+    await asyncio.sleep(2.5)
+    successor = world.nodes[world.nodes[first]._directory.successors()[0]]
+    other = next(c for c in successor._board.other_cells() if c.domains == ["a"])
+    assert_that(successor._worker_list.source, Equals(first))
+    assert_that(len(successor._worker_list.tell(successor._board.home).workers), GreaterThan(0))
+    assert_that(successor._worker_list.tell(other), Is(None))
--- a/zincwell/dispatch/_feeds.py
+++ b/zincwell/dispatch/_feeds.py
@@ -36,7 +36,9 @@
         the first page and whenever the history was lost.
     :param wait_s: how long the store may wait for a record before it answers.
     :param pause_s: how long to wait between two reads.
+    :param clock: a steady clock that counts the time that the VM was suspended.
     :ivar place: up to where in the store's log the topic is known, -1 before the first read.
+    :ivar read_at: when it was read, by the clock; minus infinity before the first read.
     :ivar wanted: whether to read at all; while it is not, what is known grows old.
     """
 
@@ -46,6 +48,7 @@
         store: Store,
         topic: Topic,
         on_change: Callable[[set[str]], None],
+        clock: Callable[[], float],
         wait_s: float = 0.0,
         pause_s: float = 0.0,
         wanted: bool = True,
@@ -54,11 +57,12 @@
         self.reachable = False
         self.pause_s = pause_s
         self.wanted = wanted
-        self.read_at = 0.0
+        self.read_at = -math.inf
         self.place = -1
         self._store = store
         self._topic = topic
         self._on_change = on_change
+        self._clock = clock
         self._wait_s = wait_s
         self._kick = asyncio.Event()
         self._next: int | None = None
@@ -130,7 +134,7 @@
     def _note_read(self, page: StorePage) -> None:
         """Note the reading before its records are offered: who takes them asks how old they are."""
         self._next = self.place = page.end
-        self.read_at = self._loop.time()
+        self.read_at = self._clock()
 
     def _replace(self, page: StorePage) -> None:
         keys = set(self.records_by_key)
--- a/zincwell/dispatch/_messages.py
+++ b/zincwell/dispatch/_messages.py
@@ -94,12 +94,16 @@
 class WorkerNews(Struct, frozen=True, kw_only=True, tag="workers", omit_defaults=True):
     """Owner to owner or successor: the listed workers of your cell.
 
-    :param age_s: how long ago the list was read.
+    :param place: place in the store's log up to which the list is known; of two lists the one with
+        the higher place is the newer one, whichever comes first.
+    :param read_at: when the list was read, by the clock that stamps the sender's envelopes. An age
+        would stand still while the message waits for its delivery.
     """
 
     cell: str
+    place: int
+    read_at: float
     workers: list[WorkerInfo]
-    age_s: float = 0.0
 
 
 class LayoutNotice(Struct, frozen=True, kw_only=True, tag="layout"):
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -42,7 +42,7 @@
 )
 from zincwell.dispatch._metrics import Metrics
 from zincwell.dispatch._owner import Owner, OwnerListener
-from zincwell.dispatch._peers import Inbox, LinkObserver, PeerLink
+from zincwell.dispatch._peers import LATE_S, Inbox, LinkObserver, PeerLink
 from zincwell.dispatch._reach import Reach
 from zincwell.dispatch._router import OwnerRouter
 from zincwell.dispatch._slowness import SlownessWatch
@@ -167,6 +167,7 @@
             store=self._store,
             topic=Topic.CONFIGURATION,
             on_change=self._on_configuration,
+            clock=self._clock,
             wait_s=CONFIGURATION_WAIT_S,
         )
         self._worker_list = WorkerList(
@@ -175,6 +176,7 @@
             leave_notice_s=self._limits.leave_notice_s,
             names_service=self._names_service,
             on_change=self._on_workers,
+            clock=self._clock,
         )
         self._teller = WorkerTeller(
             board=self._board, directory=self._directory, worker_list=self._worker_list
@@ -184,12 +186,14 @@
             store=self._store,
             topic=Topic.ENTRIES,
             on_change=self._on_entries,
+            clock=self._clock,
             wait_s=ENTRIES_WAIT_S,
         )
         self._claims_feed = TopicFollower(
             store=self._store,
             topic=Topic.CLAIMS,
             on_change=self._on_claims,
+            clock=self._clock,
             wait_s=ENTRIES_WAIT_S,
         )
         self._tasks.spawn(self._register())
@@ -247,7 +251,7 @@
             "fence": self.election.fence,
             "owner_silence_seconds": self.election.silence_s(),
             "configuration_version": self.configuration_version(),
-            "configuration_age_seconds": self._loop.time() - self._configuration_feed.read_at,
+            "configuration_age_seconds": self._clock() - self._configuration_feed.read_at,
             "callers_waiting": self.desk.count(),
             "entries_known": len(self._directory.entries_by_name),
             "cells": len(self._board.layout.cells),
@@ -473,12 +477,17 @@
         self.evacuations.note_account(envelope.evacuations, entry=envelope.sender.name)
         self._check_owner_life()
         self.election.note_owner_alive(envelope.sender.incarnation, envelope.fence)
-        late = self._inbox.is_late(envelope, now=self._clock())
+        late_s = self._inbox.lateness_s(envelope, now=self._clock())
+        late = late_s > LATE_S
         if self._inbox.is_new(envelope):
             for message in envelope.messages:
                 if late and isinstance(message, Submit):
                     log.info("late_job job=%s entry=%s", message.job.id, envelope.sender.name)
                     continue
+                if isinstance(message, WorkerNews):
+                    age_s = envelope.sent_at - message.read_at + late_s
+                    self._worker_list.note_news(message, entry=envelope.sender.name, age_s=age_s)
+                    continue
                 self._handle(envelope.sender, message)
         self.configurations.note_version(envelope.sender, envelope.version)
         return Receipt(
@@ -505,8 +514,6 @@
                 self._owner.jobs.cancel(message.job, entry=sender.name)
         elif isinstance(message, CellReport):
             self._board.note_report(message)
-        elif isinstance(message, WorkerNews):
-            self._worker_list.note_news(message, entry=sender.name)
         elif isinstance(message, LayoutNotice):
             self._follow_layout(message.offset, message.layout)
         elif isinstance(message, Beat):
@@ -551,7 +558,10 @@
         A stand-in does not wait for it: it serves because the store does not answer here.
         """
         stands_in = self._owner is not None and self._owner.domain is not None
-        return stands_in or self._worker_list.is_usable()
+        if stands_in or self._worker_list.is_usable():
+            return True
+        self._worker_list.read_soon()
+        return False
 
     def list_age_s(self) -> float:
         """Return how old the list of workers is that is known here, in seconds."""
@@ -628,7 +638,7 @@
                 adopt_first=self._loop.time() < self._cells_new_until,
             )
             self._owner.evacuate(self.evacuations.domains)
-        self._elected_at = self._loop.time()
+        self._elected_at = self._clock()
         log.info(
             "workers_known workers=%d from=%s age_ms=%d",
             len(self._worker_list.listed_by_id),
--- a/zincwell/dispatch/_peers.py
+++ b/zincwell/dispatch/_peers.py
@@ -195,25 +195,25 @@
 
 
 class Inbox:
-    """Tells new envelopes from repeated ones, and late ones from those in time."""
+    """Tells new envelopes from repeated ones, and how late they are."""
 
     def __init__(self) -> None:
         self._seen_by_incarnation: dict[str, int] = {}
         self._quickest_by_incarnation: dict[str, QuickestDelivery] = {}
 
-    def is_late(self, envelope: Envelope, *, now: float) -> bool:
-        """Return whether an envelope took much longer than others of its sender.
+    def lateness_s(self, envelope: Envelope, *, now: float) -> float:
+        """Return how much longer an envelope took than the quickest of its sender.
 
-        What it asks for may have been given up meanwhile and done elsewhere: a job in it would
-        run twice. Clocks of two entries can't be compared, but the difference between them is the
-        same for all envelopes, so the quickest one tells what of it is delay.
+        What a late one asks for may have been given up meanwhile and done elsewhere: a job in it
+        would run twice. Clocks of two entries can't be compared, but the difference between them
+        is the same for all envelopes, so the quickest one tells what of it is delay.
         """
         quickest = self._quickest_by_incarnation.setdefault(
             envelope.sender.incarnation, QuickestDelivery()
         )
         difference = now - envelope.sent_at
         quickest.note(difference, now=now)
-        return difference - quickest.difference() > LATE_S
+        return difference - quickest.difference()
 
     def is_new(self, envelope: Envelope) -> bool:
         """Return whether the envelope has not been handled yet, and note it."""
--- a/zincwell/dispatch/_worker_list.py
+++ b/zincwell/dispatch/_worker_list.py
@@ -6,6 +6,7 @@
 import logging
 import math
 from collections.abc import Callable
+from dataclasses import dataclass, replace
 
 from zincwell.dispatch._cell_board import CellBoard
 from zincwell.dispatch._cells import Cell
@@ -29,6 +30,22 @@
 LEAST_USABLE_S = 0.6
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ListVersion:
+    """What is known of the list of workers, and since when.
+
+    :param place: place in the store's log up to which it is known, -1 before the first reading.
+    :param read_at: when it was read, by this entry's clock.
+    :param source: ``store``, or the name of the entry that told of it.
+    :param cell: name of the cell whose workers it has; None if it has all.
+    """
+
+    place: int = -1
+    read_at: float = -math.inf
+    source: str = ""
+    cell: str | None = None
+
+
 class WorkerList:
     """Keeps the listed workers up to date at the least cost for the store.
 
@@ -40,6 +57,7 @@
     :param leave_notice_s: how long after it has said that it leaves a worker may get new work.
     :param names_service: tells whether the configuration names a service.
     :param on_change: called when the list may have changed.
+    :param clock: a steady clock that counts the time that the VM was suspended.
     """
 
     def __init__(
@@ -50,19 +68,23 @@
         leave_notice_s: float,
         names_service: Callable[[str], bool],
         on_change: Callable[[], None],
+        clock: Callable[[], float],
     ) -> None:
         self._board = board
         self._usable_s = max(leave_notice_s * USABLE_SHARE, LEAST_USABLE_S)
         self._names_service = names_service
         self._on_change = on_change
         self._listing = WorkerListing()
-        self._news_read_at = -math.inf
-        self._source = ""
+        self._version = ListVersion()
+        # When the list was read that the newest news tell of.
+        self._told_at = -math.inf
+        self._clock = clock
         self._loop = asyncio.get_running_loop()
         self._feed = TopicFollower(
             store=store,
             topic=Topic.WORKERS,
             on_change=lambda keys: self.refresh(),
+            clock=clock,
             pause_s=READ_PAUSE_S,
             wanted=False,
         )
@@ -81,17 +103,17 @@
         return self._listing.lapsed_lately()
 
     def read_at(self) -> float:
-        """Return when the list was read that is known here, by the loop's clock."""
-        return max(self._feed.read_at, self._news_read_at)
+        """Return when the list was read that is known here, by this entry's clock."""
+        return self._newest_read_at() if self._covers(self._board.home) else -math.inf
 
     def age_s(self) -> float:
         """Return how old the list is that is known here, in seconds; infinite before the first."""
-        return self._loop.time() - self.read_at() if self._source else math.inf
+        return self._clock() - self.read_at()
 
     @property
     def source(self) -> str:
         """Where the list comes from: ``store``, or the name of the entry that told of it."""
-        return self._source
+        return self._version.source
 
     def is_usable(self) -> bool:
         """Return whether tasks may be started by the list.
@@ -116,7 +138,7 @@
         """Begin to read at once, and wait for the first reading for a limited time."""
         self.read_soon()
         until = self._loop.time() + within_s
-        while self._feed.read_at == 0 and self._loop.time() < until:
+        while self._feed.place < 0 and self._loop.time() < until:
             await asyncio.sleep(within_s / 10)
 
     def read_soon(self) -> None:
@@ -126,40 +148,71 @@
 
     def refresh(self) -> None:
         """Take over what was read; also when the configuration names other services."""
-        if self._feed.read_at < self._news_read_at:
+        feed = self._feed
+        if feed.place < max(self._version.place, 0):
             return
-        infos = [record.value for record in self._feed.records_by_key.values()]
-        self._update([info for info in infos if isinstance(info, WorkerInfo)], source="store")
+        infos = [record.value for record in feed.records_by_key.values()]
+        version = ListVersion(place=feed.place, read_at=feed.read_at, source="store")
+        self._update([info for info in infos if isinstance(info, WorkerInfo)], version)
+
+    def tell(self, cell: Cell) -> WorkerNews | None:
+        """Return what another owner or a successor should know of a cell's workers.
 
-    def tell(self, cell: Cell) -> WorkerNews:
-        """Return what another owner or a successor should know of a cell's workers."""
+        None if nothing is known of them here.
+        """
+        if not self._covers(cell):
+            return None
         covered = [
             info
             for info in self.listed_by_id.values()
             if self._board.layout.cell_of(info.zone, info.id) is cell
         ]
-        age_s = round(self._loop.time() - self.read_at(), 3)
-        return WorkerNews(cell=cell.name, workers=covered, age_s=age_s)
+        return WorkerNews(
+            cell=cell.name,
+            place=self._version.place,
+            read_at=self._newest_read_at(),
+            workers=covered,
+        )
 
-    def note_news(self, news: WorkerNews, *, entry: str) -> None:
+    def note_news(self, news: WorkerNews, *, entry: str, age_s: float) -> None:
         """Take note of what another entry has read.
 
         News that are older than an own reading change nothing, but there is no need to go on
-        reading.
+        reading. Which is the older one is told by the places in the store's log: the time that news
+        were under way is known only roughly.
+
+        :param age_s: how long ago the list was read, with the time that the news were under way.
         """
-        read_at = self._loop.time() - news.age_s
-        if news.cell != self._board.home.name or read_at <= self._news_read_at:
+        if news.cell != self._board.home.name:
             return
-        self._news_read_at = read_at
-        if read_at > self._feed.read_at:
-            self._update(news.workers, source=entry)
-
-    def _update(self, infos: list[WorkerInfo], *, source: str) -> None:
-        if source != self._source:
-            self._source = source
-            log.info("list_source from=%s age_ms=%d", source, self.age_s() * 1000)
+        read_at = self._clock() - age_s
+        self._told_at = max(self._told_at, read_at)
+        if news.place > self._version.place or not self._covers(self._board.home):
+            told = ListVersion(place=news.place, read_at=read_at, source=entry, cell=news.cell)
+            self._update(news.workers, told)
+        elif news.place == self._version.place:
+            read_at = max(read_at, self._version.read_at)
+            self._version = replace(self._version, read_at=read_at)
+
+    def _update(self, infos: list[WorkerInfo], version: ListVersion) -> None:
+        if version.source != self._version.source:
+            age_ms = (self._clock() - version.read_at) * 1000
+            log.info(
+                "list_source from=%s place=%d age_ms=%d", version.source, version.place, age_ms
+            )
+        self._version = version
         self._listing.update({i.id: i for i in infos if self._names_service(i.service)})
         self._on_change()
 
+    def _newest_read_at(self) -> float:
+        """Return when the list was read; readings since that brought nothing new confirm it."""
+        if self._feed.place < self._version.place:
+            return self._version.read_at
+        return max(self._version.read_at, self._feed.read_at)
+
+    def _covers(self, cell: Cell) -> bool:
+        """Return whether the workers of a cell are known here at all."""
+        return self._version.place >= 0 and self._version.cell in (None, cell.name)
+
     def _has_fresh_news(self) -> bool:
-        return self._loop.time() - self._news_read_at < NEWS_FRESH_S
+        return self._clock() - self._told_at < NEWS_FRESH_S
--- a/zincwell/dispatch/_worker_news.py
+++ b/zincwell/dispatch/_worker_news.py
@@ -34,6 +34,8 @@
 
     def _tell_successors(self) -> None:
         news = self._worker_list.tell(self._board.home)
+        if news is None:
+            return
         for entry in self._directory.first_successors(INFORMED_SUCCESSORS):
             self._directory.link(entry).send(news)
 
@@ -46,5 +48,6 @@
             if owner is None or cell.domains != home.domains:
                 continue
             link = self._directory.link(owner)
-            if link.is_idle():
-                link.send(self._worker_list.tell(cell))
+            news = self._worker_list.tell(cell)
+            if news is not None and link.is_idle():
+                link.send(news)
