Count a reading from its question, and read on while the store has more

What operators could see: the age of the list and of the configuration, in metrics and logs, was younger than what it told of. With a pool of the size to come (6,000 records a second, 0.35 kB each, of which an answer holds 1 MB and one comes each 0.4 s and more) a reader that was once behind stays so, takes itself for up to date, and starts tasks on workers that have left.

Cause: the moment when an answer came counted as the moment that it tells of; and an answer that was cut at its greatest length looked like one that reached the end.

Evidence: test_readings.py, red before: an answer that took 2.0 s counted as new; with 1,000 records a second and 100 an answer, 7,600 were missing after 10 s; a cut answer did not say so.

Change: the moment of asking counts, and only of a reading that reached the end; one that did not is followed by the next without a pause.

--- a/zincwell/dispatch/_feeds.py
+++ b/zincwell/dispatch/_feeds.py
@@ -38,7 +38,8 @@
     :param pause_s: how long to wait between two reads.
     :param clock: a steady clock that counts the time that the VM was suspended.
     :ivar place: up to where in the store's log the topic is known, -1 before the first read.
-    :ivar read_at: when it was read, by the clock; minus infinity before the first read.
+    :ivar read_at: when a reading was asked for that reached the end of the topic, by the clock;
+        minus infinity before the first. Its answer may have been long on its way.
     :ivar wanted: whether to read at all; while it is not, what is known grows old.
     """
 
@@ -68,6 +69,8 @@
         self._next: int | None = None
         self._failures = 0
         self._asked_at = math.inf
+        # Whether the last reading reached the end of the topic.
+        self._complete = True
         self._loop = asyncio.get_running_loop()
         self._tasks = TaskGroup()
         self._tasks.spawn(self._follow_forever())
@@ -106,7 +109,7 @@
                 await asyncio.sleep(min(RETRY_PAUSE_S * self._failures, MAX_RETRY_PAUSE_S))
                 continue
             self._failures = 0
-            if self.pause_s:
+            if self.pause_s and self._complete:
                 await self._pause()
 
     async def _pause(self) -> None:
@@ -119,22 +122,25 @@
 
     async def _read(self) -> None:
         self._asked_at = self._loop.time()
+        asked_at = self._clock()
         try:
             if self._next is None:
                 page = await self._store.newest(self._topic)
-                self._note_read(page)
+                self._note_read(page, asked_at)
                 self._replace(page)
             else:
                 page = await self._store.changes(self._topic, start=self._next, wait_s=self._wait_s)
-                self._note_read(page)
+                self._note_read(page, asked_at)
                 self._fold(page)
         finally:
             self._asked_at = math.inf
 
-    def _note_read(self, page: StorePage) -> None:
+    def _note_read(self, page: StorePage, asked_at: float) -> None:
         """Note the reading before its records are offered: who takes them asks how old they are."""
         self._next = self.place = page.end
-        self.read_at = self._clock()
+        self._complete = page.complete
+        if page.complete:
+            self.read_at = asked_at
 
     def _replace(self, page: StorePage) -> None:
         keys = set(self.records_by_key)
--- a/zincwell/dispatch/ports.py
+++ b/zincwell/dispatch/ports.py
@@ -65,10 +65,14 @@
 
 
 class StorePage(Struct, frozen=True, kw_only=True):
-    """Records in order, and the offset that the next one will have."""
+    """Records in order, and the offset that the next one will have.
+
+    :param complete: whether the topic had no more records when it was read; a long answer is cut.
+    """
 
     records: list[StoreRecord]
     end: int
+    complete: bool = True
 
 
 class Store(abc.ABC):
--- a/zincwell/platform/_store.py
+++ b/zincwell/platform/_store.py
@@ -190,7 +190,9 @@
             offset = start + len(records)
             records.append(self.decode(topic, key, offset, content[1 + key_length :]))
         last = start + len(records)
-        return StorePage(records=records, end=last if records else max(start, end))
+        if not records:
+            return StorePage(records=records, end=max(start, end))
+        return StorePage(records=records, end=last, complete=last >= end)
 
     def decode(self, topic: Topic, key: str, offset: int, value: bytes) -> StoreRecord:
         """Return one record; without a value if it can't be read."""
