--- a/tests/test_pool_faults.py
+++ b/tests/test_pool_faults.py
@@ -380,3 +380,31 @@
     day = EvacuationDay(world, seed)
     await day.play(faults=10)
     assert_that(day.wrong_starts(), Equals([]))
+
+
+class LeavingDay(RandomDay):
+    """A random day on which workers leave and owners are lost about when their notice ends."""
+
+    async def _fault(self) -> None:
+        staying = sorted(self.world.workers.keys() - self.world.leaving_since_by_worker.keys())
+        for worker in self.random.sample(staying, 2):
+            self._replace(worker)
+        await asyncio.sleep(self.random.uniform(1.2, 2.0))
+        await self._restart(self.random.choice(self.world.owners()), drain=False)
+
+    def _replace(self, worker_id: str) -> None:
+        """Let a worker leave, and another one come in its place."""
+        world, zone = self.world, self.world.workers[worker_id].info.zone
+        world.leave(worker_id)
+        world.add_worker(f"{worker_id}+", zone)
+        world.loop.call_later(self.random.uniform(3.0, 6.0), self._end, worker_id)
+
+    def _end(self, worker_id: str) -> None:
+        self.world.workers[worker_id].crash()
+        self.world.list_worker(None, worker_id=worker_id)
+
+
+@pytest.mark.parametrize("seed", random_seeds())
+async def test_random_days_with_leaving_workers_keep_every_promise(world: World, seed: int):
+    await world.open()
+    await LeavingDay(world, seed, DENSE_PAUSE_S).play(faults=6)
