Let what waits for its delivery grow older: heartbeats, reports of cells, news of the list

A heartbeat that had waited 5 s told a successor that all failure domains had been heard for 100 s up to now (complete_s 100.0 before, 0 after, by DomainWatch alone); a successor that believes it starts again what may run unseen in the domain that was cut off (TWICE). A report of a cell that had waited took the place of a newer one.

Change: an envelope says how long its first message has waited, and the receiver counts that, and how much longer it was on its way than others, to all ages in it. News of the list use the same in place of a stamp of their own.

--- a/tests/test_pool_messages.py
+++ b/tests/test_pool_messages.py
@@ -3,16 +3,25 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
 from tests.dispatch_world import LATENCY_S, World, make_job
-from zincwell.dispatch._types import Verdict
+from zincwell.dispatch._cell_board import CellBoard
+from zincwell.dispatch._domains import DomainWatch
+from zincwell.dispatch._messages import Beat, CellReport, Envelope, Hello, Receipt
+from zincwell.dispatch._peers import LinkObserver, PeerLink
+from zincwell.dispatch._types import EntryInfo, Verdict
+from zincwell.dispatch.ports import PeerCallError, PeerClient
 
 pytestmark = pytest.mark.looptime
 
+ME = EntryInfo(name="me", address="me", zone="a", incarnation="me-0")
+OTHER = EntryInfo(name="other", address="other", zone="b", incarnation="other-0")
+
 
 def entry_and_owner(world: World) -> tuple[str, str]:
     """Return an entry that is not the owner, and the owner."""
@@ -100,3 +109,78 @@
     running = [task for worker in world.workers.values() for task in worker.runs]
     assert_that(running, HasLength(0))
     call.cancel()
+
+
+class SilentClient(PeerClient):
+    """An entry that gives no answer for a while; notes what reached it."""
+
+    def __init__(self, *, silent_s: float) -> None:
+        self.envelopes: list[Envelope] = []
+        self._loop = asyncio.get_running_loop()
+        self._answers_at = self._loop.time() + silent_s
+
+    async def deliver(self, address, envelope, *, timeout_s):
+        if self._loop.time() < self._answers_at:
+            await asyncio.sleep(timeout_s)
+            raise PeerCallError("no answer")
+        self.envelopes.append(envelope)
+        return Receipt(receiver=OTHER)
+
+    async def fetch_configuration(self, address, *, timeout_s):
+        raise NotImplementedError
+
+
+class QuietObserver(LinkObserver):
+    """Has nothing to say."""
+
+    def on_receipt(self, link, receipt):
+        pass
+
+    def own_fence(self):
+        return 0
+
+    def configuration_version(self):
+        return 0
+
+    def evacuations_known(self):
+        return None
+
+
+async def test_messages_that_wait_for_their_delivery_grow_older():
+    # Guards against what was so seconds ago and is taken for what is so now.
+    client = SilentClient(silent_s=3.0)
+    link = PeerLink(
+        me=ME,
+        peer=OTHER,
+        client=client,
+        observer=QuietObserver(),
+        sequences=itertools.count(1),
+        clock=asyncio.get_running_loop().time,
+    )
+    link.send(Hello())
+    await asyncio.sleep(1.0)
+    link.send(Hello())
+    await asyncio.sleep(4.0)
+    link.send(Hello())
+    await asyncio.sleep(0.1)
+    link.close()
+    waited_s = [round(envelope.waited_s) for envelope in client.envelopes]
+    assert_that(waited_s, Equals([3, 2, 0]))
+
+
+async def test_a_heartbeat_that_waited_says_nothing_of_the_domains_since():
+    # Guards against a successor that takes all that runs for seen, by an owner's word from before
+    # a cut, and starts again what runs in the domain that was cut off.
+    watch = DomainWatch(me=ME)
+    watch.note_beat(Beat(fence=1, owner=OTHER, complete_s=100.0), delay_s=5.0)
+    watch.note_elected(extended=False)
+    assert_that(watch.complete_s(), Equals(0.0))
+
+
+async def test_a_report_that_waited_does_not_replace_a_newer_one():
+    # Guards against jobs that are sent to a cell by how it stood seconds ago.
+    board = CellBoard(me=ME)
+    board.note_owner("cell", OTHER, 1)
+    board.note_report(CellReport(cell="cell", fence=1, pending={"r": 1}))
+    board.note_report(CellReport(cell="cell", fence=1, pending={"r": 9}), delay_s=2.0)
+    assert_that(board.pending_by_route(), Equals({"r": 1}))
--- a/zincwell/dispatch/_cell_board.py
+++ b/zincwell/dispatch/_cell_board.py
@@ -77,10 +77,13 @@
         view.report, view.made_at = None, -math.inf
         return True
 
-    def note_report(self, report: CellReport) -> None:
-        """Take note of what an owner says of its cell, at first hand or passed on."""
+    def note_report(self, report: CellReport, *, delay_s: float = 0.0) -> None:
+        """Take note of what an owner says of its cell, at first hand or passed on.
+
+        :param delay_s: how long the message was under way.
+        """
         view = self._views_by_cell.get(report.cell)
-        made_at = self._loop.time() - report.age_s
+        made_at = self._loop.time() - report.age_s - delay_s
         if view is None or report.fence < view.fence or made_at <= view.made_at:
             return
         view.report, view.made_at = report, made_at
--- a/zincwell/dispatch/_domains.py
+++ b/zincwell/dispatch/_domains.py
@@ -40,9 +40,13 @@
         self._beat_at = -math.inf
         self._elected_at = 0.0
 
-    def note_beat(self, beat: Beat) -> None:
-        """Take over what the owner that this entry follows knows."""
-        self._beat_at = self._loop.time()
+    def note_beat(self, beat: Beat, *, delay_s: float) -> None:
+        """Take over what the owner that this entry follows knows.
+
+        :param delay_s: how long ago the owner knew it. One that waited behind a cut says nothing
+            of the domains since.
+        """
+        self._beat_at = self._loop.time() - delay_s
         self._missed_at = self._beat_at - (0.0 if beat.domain else beat.complete_s)
 
     def note_list_unread(self) -> None:
--- a/zincwell/dispatch/_messages.py
+++ b/zincwell/dispatch/_messages.py
@@ -96,14 +96,13 @@
 
     :param place: place in the store's log up to which the list is known; of two lists the one with
         the higher place is the newer one, whichever comes first.
-    :param read_at: when the list was read, by the clock that stamps the sender's envelopes. An age
-        would stand still while the message waits for its delivery.
+    :param age_s: how long ago the list was read.
     """
 
     cell: str
     place: int
-    read_at: float
     workers: list[WorkerInfo]
+    age_s: float = 0.0
 
 
 class LayoutNotice(Struct, frozen=True, kw_only=True, tag="layout"):
@@ -127,6 +126,8 @@
 
     :param sequence: rises by one; a repeated delivery carries the same number.
     :param sent_at: the sender's clock, in seconds from a moment of its own.
+    :param waited_s: how long its first message has waited for this try. What messages say of now,
+        and the ages in them, are that much older.
     :param version: newest version of the configuration that the sender knows.
     :param fence: fencing token of the sender if it is owner, else 0.
     :param evacuations: what the sender knows of them; None if it never heard of any.
@@ -136,6 +137,7 @@
     sequence: int
     sent_at: float
     messages: list[Message]
+    waited_s: float = 0.0
     version: int = 0
     fence: int = 0
     evacuations: Evacuations | None = None
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -484,11 +484,7 @@
                 if late and isinstance(message, Submit):
                     log.info("late_job job=%s entry=%s", message.job.id, envelope.sender.name)
                     continue
-                if isinstance(message, WorkerNews):
-                    age_s = envelope.sent_at - message.read_at + late_s
-                    self._worker_list.note_news(message, entry=envelope.sender.name, age_s=age_s)
-                    continue
-                self._handle(envelope.sender, message)
+                self._handle(envelope.sender, message, delay_s=envelope.waited_s + late_s)
         self.configurations.note_version(envelope.sender, envelope.version)
         return Receipt(
             receiver=self.me,
@@ -502,7 +498,11 @@
             evacuations=self.evacuations.account(),
         )
 
-    def _handle(self, sender: EntryInfo, message: Message) -> None:
+    def _handle(self, sender: EntryInfo, message: Message, *, delay_s: float = 0.0) -> None:
+        """Handle one message.
+
+        :param delay_s: how long ago it said what holds now.
+        """
         if isinstance(message, Submit):
             self._take_job(sender.name, message)
         elif isinstance(message, JobEnded):
@@ -513,22 +513,24 @@
             if self._owner is not None:
                 self._owner.jobs.cancel(message.job, entry=sender.name)
         elif isinstance(message, CellReport):
-            self._board.note_report(message)
+            self._board.note_report(message, delay_s=delay_s)
+        elif isinstance(message, WorkerNews):
+            self._worker_list.note_news(message, entry=sender.name, delay_s=delay_s)
         elif isinstance(message, LayoutNotice):
             self._follow_layout(message.offset, message.layout)
         elif isinstance(message, Beat):
-            self._take_beat(message)
+            self._take_beat(message, delay_s)
 
-    def _take_beat(self, beat: Beat) -> None:
+    def _take_beat(self, beat: Beat, delay_s: float) -> None:
         self.election.note_beat(beat)
         if beat.cell != self._board.home.name:
             return
         if self._owner is None and beat.fence >= self.election.fence:
-            self._domains.note_beat(beat)
+            self._domains.note_beat(beat, delay_s=delay_s)
         for report in beat.reports:
             if report.cell == beat.cell:
                 self._board.note_owner(report.cell, beat.owner, report.fence)
-            self._board.note_report(report)
+            self._board.note_report(report, delay_s=delay_s)
         self._home_pending = beat.pending
 
     @property
--- a/zincwell/dispatch/_peers.py
+++ b/zincwell/dispatch/_peers.py
@@ -82,6 +82,7 @@
         self._client = client
         self._observer = observer
         self._queue: list[Message] = []
+        self._queued_at = 0.0
         self._under_way: list[Message] = []
         self._wake = asyncio.Event()
         self._loop = asyncio.get_running_loop()
@@ -96,6 +97,8 @@
             self._queue.clear()
         if isinstance(message, Cancel):
             self._withdraw(message)
+        if not self._queue:
+            self._queued_at = self._clock()
         self._queue.append(message)
         self._wake.set()
 
@@ -159,21 +162,26 @@
             self._wake.clear()
             while self._queue:
                 self._under_way, self._queue = self._queue, []
-                receipt = await self._deliver()
+                receipt = await self._deliver(self._queued_at)
                 self._under_way = []
                 # Only now, or an answer to the receipt would find the link busy and not be sent.
                 self._observer.on_receipt(self, receipt)
 
-    async def _deliver(self) -> Receipt:
-        """Deliver what is under way, as it stands at each try."""
+    async def _deliver(self, queued_at: float) -> Receipt:
+        """Deliver what is under way, as it stands at each try.
+
+        :param queued_at: since when the first of the messages has waited, by the clock.
+        """
         sequence = next(self._sequences)
         failures = 0
         while True:
+            now = self._clock()
             envelope = Envelope(
                 sender=self.me,
                 sequence=sequence,
-                sent_at=self._clock(),
+                sent_at=now,
                 messages=self._under_way,
+                waited_s=now - queued_at,
                 version=self._observer.configuration_version(),
                 fence=self._observer.own_fence(),
                 evacuations=self._observer.evacuations_known(),
--- a/zincwell/dispatch/_worker_list.py
+++ b/zincwell/dispatch/_worker_list.py
@@ -170,22 +170,22 @@
         return WorkerNews(
             cell=cell.name,
             place=self._version.place,
-            read_at=self._newest_read_at(),
             workers=covered,
+            age_s=round(self._clock() - self._newest_read_at(), 3),
         )
 
-    def note_news(self, news: WorkerNews, *, entry: str, age_s: float) -> None:
+    def note_news(self, news: WorkerNews, *, entry: str, delay_s: float) -> None:
         """Take note of what another entry has read.
 
         News that are older than an own reading change nothing, but there is no need to go on
         reading. Which is the older one is told by the places in the store's log: the time that news
         were under way is known only roughly.
 
-        :param age_s: how long ago the list was read, with the time that the news were under way.
+        :param delay_s: how long the message was under way.
         """
         if news.cell != self._board.home.name:
             return
-        read_at = self._clock() - age_s
+        read_at = self._clock() - news.age_s - delay_s
         self._told_at = max(self._told_at, read_at)
         if news.place > self._version.place or not self._covers(self._board.home):
             told = ListVersion(place=news.place, read_at=read_at, source=entry, cell=news.cell)
