Log what a home says of a key that it does not grant

The three hypotheses on answers after a pause differ in who decided, and since when it knew all grants; the logs showed only `refused`, also of submissions that were then answered home_changed. Now the asker logs `claim_answered` with kind and reason of each claim that is not granted, and the home `key_unknown` or `key_never_granted` with how long after its knowledge the key was made.

No decision is changed.

--- a/zincwell/core/_home.py
+++ b/zincwell/core/_home.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import itertools
+import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -34,6 +35,8 @@
 LEAVER_S = 2.0
 STALE_RETRY_MS = 50
 
+log = logging.getLogger("zincwell.home")
+
 
 @dataclass
 class Step:
@@ -200,11 +203,14 @@
             return _not_ready("taking_over", round(wait_s * 1000) + NOT_READY_MS)
         fresh = claim.created_at > home_since + self._timing.clock_margin_s
         if fresh or self._is_surely_first(claim):
+            if claim.intent is Intent.REFUSE:
+                _log_decision("key_never_granted", asker, claim, home_since)
             return self._decide_new(asker, claim)
         if claim.never_run:
             return ClaimReply(kind=ClaimKind.STALE, reason="stale", retry_after_ms=STALE_RETRY_MS)
         if self._awaited:
             return _not_ready("recovering")
+        _log_decision("key_unknown", asker, claim, home_since)
         return ClaimReply(kind=ClaimKind.UNKNOWN, reason="home_changed")
 
     def _is_surely_first(self, claim: Claim) -> bool:
@@ -289,6 +295,12 @@
         return self._known_since(ours), ours.grants_from
 
 
+def _log_decision(event: str, asker: Seat, claim: Claim, home_since: float) -> None:
+    """Log what is said of a key that is not granted, and how old the key and our knowledge are."""
+    made_after_s = round(claim.created_at - home_since, 3)
+    log.info(event, extra={"job": claim.key, "asker": asker.id, "made_after_s": made_after_s})
+
+
 def _granted(owned: OwnedKey) -> ClaimReply:
     return ClaimReply(kind=ClaimKind.GRANTED, owner=owned.owner, serial=owned.serial)
 
--- a/zincwell/core/_submissions.py
+++ b/zincwell/core/_submissions.py
@@ -227,6 +227,16 @@
             disown=self._book.closed_serial(key),
         )
         reply = await self._ownership.acquire(claim)
+        if reply.kind is not ClaimKind.GRANTED:
+            log.info(
+                "claim_answered",
+                extra={
+                    "job": submission.key,
+                    "intent": claim.intent,
+                    "kind": reply.kind,
+                    "reason": reply.reason,
+                },
+            )
         if reply.kind is ClaimKind.OWNED and reply.owner.id != self._seat.id:
             return Ok(reply)
         if reply.kind in (ClaimKind.ABSENT, ClaimKind.OWNED):
