--- a/tests/test_faults_platform.py
+++ b/tests/test_faults_platform.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import signal
 from collections.abc import Awaitable, Callable
 
 from testtools.assertions import assert_that
-from testtools.matchers import AllMatch, Equals, GreaterThan, MatchesAny
+from testtools.matchers import AllMatch, Contains, Equals, GreaterThan, MatchesAny, Not
 
 from tests.cluster import Cluster, EntryProcess
 from tests.samples import echoes, key_at, make_submission
@@ -190,17 +191,53 @@
     served.
     """
     await cluster.open(domains=ONE_DOMAIN)
+    # Sooner, keys of any home would count as unknown.
     await cluster.outlast_clock_margin()
+    keys = keys_at(cluster, home="entry-0", count=8)
+    answers = await submit_into_a_pause(cluster, keys)
+    assert_that({answer["reason"] for _, answer in answers}, Equals({"home_changed"}))
+    assert_that({status for status, _ in answers}, Equals({504}))
     entry = cluster.entry_by_vm["entry-0"]
-    jobs = [make_submission(key=f"kariakoo/held-{number}") for number in range(8)]
+    assert_that(await take_in(cluster, entry, "kariakoo/new"), Equals("kariakoo/new-0"))
+
+
+async def test_submissions_held_up_by_a_pause_of_another_entry_than_their_home(cluster: Cluster):
+    # Guards against "not run" said of what runs, and "unknown" of what the home knows.
+    await cluster.open(domains=ONE_DOMAIN)
+    await cluster.outlast_clock_margin()
+    keys = keys_at(cluster, home="entry-1", count=8)
+    answers = await submit_into_a_pause(cluster, keys)
+    started = {task.partition("@")[0] for task in await cluster.starts_by_task()}
+    for key, (status, answer) in zip(keys, answers, strict=True):
+        if status == 202:
+            continue
+        assert_that((status, answer["outcome"], answer["reason"]), Equals(TOLD_NOT_RUN))
+        assert_that(started, Not(Contains(key)))
+    again = [make_submission(key=key) for key in keys]
+    entry = cluster.entry_by_vm["entry-0"]
+    ends = await asyncio.gather(*(cluster.resend(entry, submission) for submission in again))
+    assert_that({answer["outcome"] for answer in ends}, Equals({"completed"}))
+    assert_that(await cluster.starts_by_task(), AT_MOST_ONCE)
+
+
+TOLD_NOT_RUN = (503, "not_run", "no_worker")
+
+
+def keys_at(cluster: Cluster, *, home: str, count: int) -> list[str]:
+    """Return keys whose home is the entry named."""
+    keys = (f"kariakoo/held-{number}" for number in itertools.count())
+    return list(itertools.islice((k for k in keys if cluster.home_of(k).vm == home), count))
+
+
+async def submit_into_a_pause(cluster: Cluster, keys: list[str]) -> list[tuple[int, dict]]:
+    """Send new submissions to entry-0 while it stands still; it goes on once its seat is closed."""
+    entry = cluster.entry_by_vm["entry-0"]
+    jobs = [make_submission(key=key) for key in keys]
     entry.signal(signal.SIGSTOP)
     calls = [asyncio.ensure_future(cluster.submit(entry, job, wait=False)) for job in jobs]
     await wait_logged(cluster, cluster.entry_by_vm["entry-1"], "CloseSeat(")
     entry.signal(signal.SIGCONT)
-    taken_in = await asyncio.gather(*calls)
-    assert_that({answer["reason"] for _, answer in taken_in}, Equals({"home_changed"}))
-    assert_that({status for status, _ in taken_in}, Equals({504}))
-    assert_that(await take_in(cluster, entry, "kariakoo/new"), Equals("kariakoo/new-0"))
+    return await asyncio.gather(*calls)
 
 
 async def test_cancel_wave_leaves_nothing_behind(cluster: Cluster):
