Derive a worker's room from its newest capacity, which may shrink and grow

What operators would have seen: a worker that has shrunk goes on getting tasks by its old size (one that guards itself refuses them, one that doesn't is overrun: LIMIT), and one that has grown is not filled.

Cause: the free room was set once, when the session with a worker opened, and then kept in step by hand. Now it is the newest capacity less what occupies it, runs that are being stopped included, and may be negative: then nothing starts there, and in the forecast the first ends free nothing. What runs is left to its end: stopping it would throw its work away, and the platform does not ask for it.

Log: worker_changed says cpu and cpu_before; metric workers_over_capacity.

--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -125,7 +125,7 @@
             return StartReply(status=StartStatus.STARTED, clock_ms=self.clock_ms())
         if order.run <= self.highest.get(order.task, 0):
             return StartReply(status=StartStatus.SUPERSEDED, clock_ms=self.clock_ms())
-        if self.world.cpu_of(order.task) > self.free_cpu():
+        if self.world.guarded and self.world.cpu_of(order.task) > self.free_cpu():
             return StartReply(status=StartStatus.NO_ROOM, clock_ms=self.clock_ms())
         self.extend(order.deadline_ms)
         self.highest[order.task] = order.run
@@ -222,6 +222,8 @@
         self.link_free_at: dict[str, float] = defaultdict(float)
         # Seconds that it takes to list the workers: a large pool takes several pages.
         self.listing_s: float = 0.0
+        # Whether workers refuse what they have no room for.
+        self.guarded: bool = True
         # Seconds for which VMs were suspended; the loop's clock does not count them.
         self.suspended_s: dict[str, float] = defaultdict(float)
         self.slow_ways: set[tuple[str, str]] = set()
@@ -279,6 +281,12 @@
         key = info.id if info else worker_id
         self._append(Topic.WORKERS, key, msgspec.json.encode(info) if info else b"")
 
+    def resize(self, worker_id: str, *, cpu: int) -> None:
+        """Let a worker's capacity shrink or grow while it runs."""
+        worker = self.workers[worker_id]
+        worker.info = msgspec.structs.replace(worker.info, cpu=cpu)
+        self.list_worker(worker.info)
+
     def leave(self, worker_id: str) -> None:
         """Let a worker say that it leaves."""
         worker = self.workers[worker_id]
--- a/zincwell/dispatch/_overload.py
+++ b/zincwell/dispatch/_overload.py
@@ -190,11 +190,30 @@
                 usable_s = max(usable_s, BACK_S)
             if session.free_cpu >= least_cpu:
                 yield FreeCores(max(usable_s, 0.0), session.free_cpu)
-            slowness = self._run_times.slowness(session.info.id)
-            for run in session.runs.values():
-                left_s = run.left_s(now, expected_s=run.expected_s * slowness)
-                left_s = STOP_S if run.stopping else left_s
-                yield FreeCores(max(usable_s, left_s), run.cpu)
+            for left_s, cpu in self._list_ends(session, now):
+                yield FreeCores(max(usable_s, left_s), cpu)
+
+    def _list_ends(self, session: WorkerSession, now: float) -> Iterator[tuple[float, int]]:
+        """Yield when runs of a worker end, and the cores that become free by each end.
+
+        Where the capacity has shrunk below what runs, the first ends free nothing.
+        """
+        slowness = self._run_times.slowness(session.info.id)
+        ends = [
+            (
+                STOP_S if run.stopping else run.left_s(now, expected_s=run.expected_s * slowness),
+                run.cpu,
+            )
+            for run in session.runs.values()
+        ]
+        excess = max(-session.free_cpu, 0)
+        if excess:
+            ends.sort()
+        for left_s, cpu in ends:
+            taken = min(cpu, excess)
+            excess -= taken
+            if cpu > taken:
+                yield left_s, cpu - taken
 
     def _note_packing(self, sessions: list[WorkerSession], now: float) -> None:
         """Learn which share of the cores is in use while jobs wait."""
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -304,10 +304,10 @@
         sessions = self._workers.sessions_by_id.values()
         now = self._loop.time()
         usual = self._usual_cpu
-        free = sum(s.free_cpu // usual * usual for s in sessions if s.can_start(now))
+        free = sum(max(s.free_cpu, 0) // usual * usual for s in sessions if s.can_start(now))
         usable = sum(s.info.cpu for s in sessions if s.can_serve(now))
         waiting = sum(job.waiting_work() for job in self._scheduler.queue)
-        return Room(free_cpu=max(free, 0), backlog_s=waiting / usable if usable else NO_WORKERS_S)
+        return Room(free_cpu=free, backlog_s=waiting / usable if usable else NO_WORKERS_S)
 
     def waiting_entries(self) -> set[str]:
         """Return the names of all entries that wait for jobs of this owner."""
@@ -323,6 +323,7 @@
             "workers_held": sum(1 for s in sessions if s.held),
             "workers_evacuated": sum(1 for s in sessions if s.evacuated),
             "workers_silent": sum(1 for s in sessions if s.silent),
+            "workers_over_capacity": sum(1 for s in sessions if s.free_cpu < 0),
             "runs": sum(len(s.runs) for s in sessions),
         }
 
--- a/zincwell/dispatch/_worker.py
+++ b/zincwell/dispatch/_worker.py
@@ -114,9 +114,9 @@
         self.on_trial = False
         self.consecutive_failures = 0
         self.failed_jobs: set[str] = set()
-        self.free_cpu = info.cpu
-        self.free_memory = info.memory_mb
-        self.free_gpu = info.gpu
+        self._used_cpu = 0
+        self._used_memory = 0
+        self._used_gpu = 0
         self.last_answer_at = 0.0
         self._busy_at = 0.0
         self._asked_until = 0.0
@@ -522,22 +522,38 @@
         return run.answered and sent_at > run.ordered_at and clock_ms > run.start_deadline_ms
 
     # -- room -------------------------------------------------------------------------------
+    # Negative while the worker's capacity has shrunk below what runs there.
+
+    @property
+    def free_cpu(self) -> int:
+        """Thousandths of a core that are not in use."""
+        return self.info.cpu - self._used_cpu
+
+    @property
+    def free_memory(self) -> int:
+        """Memory that is not in use, in MB."""
+        return self.info.memory_mb - self._used_memory
+
+    @property
+    def free_gpu(self) -> int:
+        """GPUs that are not in use."""
+        return self.info.gpu - self._used_gpu
 
     def _add(self, run: Run) -> None:
         self.runs[run.task] = run
         self._observer.on_run_added(self, run)
-        self.free_cpu -= run.cpu
-        self.free_memory -= run.memory_mb
-        self.free_gpu -= run.gpu
+        self._used_cpu += run.cpu
+        self._used_memory += run.memory_mb
+        self._used_gpu += run.gpu
 
     def _leave(self, run: Run, fate: RunFate) -> None:
         if self.runs.get(run.task) is not run:
             return
         del self.runs[run.task]
         self._busy_at = self._loop.time()
-        self.free_cpu += run.cpu
-        self.free_memory += run.memory_mb
-        self.free_gpu += run.gpu
+        self._used_cpu -= run.cpu
+        self._used_memory -= run.memory_mb
+        self._used_gpu -= run.gpu
         self._observer.on_run_ended(self, run, fate)
 
     def _leave_all(self) -> None:
--- a/zincwell/dispatch/_workers.py
+++ b/zincwell/dispatch/_workers.py
@@ -48,7 +48,13 @@
             if session is None:
                 self._open(info)
             elif session.info != info:
-                log.info("worker_changed worker=%s draining=%s", worker_id, info.draining)
+                log.info(
+                    "worker_changed worker=%s draining=%s cpu=%d cpu_before=%d",
+                    worker_id,
+                    info.draining,
+                    info.cpu,
+                    session.info.cpu,
+                )
                 session.update(info)
         for worker_id, session in list(self.sessions_by_id.items()):
             session.set_listed(worker_id in infos)
