Log an age of a list that was never read

An owner that starts by a list of another cell while the store gives no answer has a list of no age; its line job_started could not be written (OverflowError), nor its metric be summed. Such an age is 3,600 s in logs and metrics now.

--- a/tests/test_leaving_workers.py
+++ b/tests/test_leaving_workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 
 import pytest
 from testtools.assertions import assert_that
@@ -11,6 +12,7 @@
 from tests.dispatch_world import LEAVE_NOTICE_S, World
 from tests.pool_jobs import finish, submit
 from tests.test_large_pools import open_parts
+from zincwell.dispatch._worker_list import ListVersion
 
 pytestmark = pytest.mark.looptime
 
@@ -149,3 +151,18 @@
     assert_that(successor._worker_list.source, Equals(first))
     assert_that(len(successor._worker_list.tell(successor._board.home).workers), GreaterThan(0))
     assert_that(successor._worker_list.tell(other), Is(None))
+
+
+async def test_an_owner_that_has_read_no_list_logs_an_age_all_the_same(
+    world: World, caplog: pytest.LogCaptureFixture
+):
+    # Guards against a start whose log line can't be written, for want of a list that has an age.
+    await world.open()
+    owner = world.owners()[0]
+    worker_list = world.nodes[owner]._worker_list
+    worker_list._version = ListVersion(place=10**9, cell="another")
+    worker_list._feed._failures = 1
+    caplog.set_level(logging.INFO)
+    await finish([submit(world, owner, "job")])
+    started = [r.getMessage() for r in caplog.records if r.msg.startswith("job_started")]
+    assert_that(started[0], Contains("list_age_ms=3600000"))
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -91,7 +91,7 @@
 DRAIN_MARGIN_S = 0.8
 DRAIN_STEP_S = 0.05
 CLAIM_CHECK_S = 0.3
-# Stands in logs for the age of a list that was never read, in seconds.
+# Stands in logs and metrics for the age of a list that was never read, in seconds.
 NEVER_READ_S = 3600.0
 # Each so many heartbeats owners tell other cells and their own entries how cells stand. Jobs go
 # elsewhere by reports that are this old, so callers of a burst wait at home for as long.
@@ -256,7 +256,7 @@
             "entries_known": len(self._directory.entries_by_name),
             "cells": len(self._board.layout.cells),
             "domains_evacuated": len(self.evacuations.domains),
-            "worker_list_age_seconds": self._worker_list.age_s(),
+            "worker_list_age_seconds": self.list_age_s(),
         }
         if self._owner is not None:
             gauges.update(self._owner.gauges())
@@ -566,8 +566,8 @@
         return False
 
     def list_age_s(self) -> float:
-        """Return how old the list of workers is that is known here, in seconds."""
-        return self._worker_list.age_s()
+        """Return how old the list of workers is that is known here, at most `NEVER_READ_S`."""
+        return min(self._worker_list.age_s(), NEVER_READ_S)
 
     def own_fence(self) -> int:
         """Return the fencing token of this entry if it is owner, else 0."""
@@ -645,7 +645,7 @@
             "workers_known workers=%d from=%s age_ms=%d",
             len(self._worker_list.listed_by_id),
             self._worker_list.source,
-            min(self._worker_list.age_s(), NEVER_READ_S) * 1000,
+            self.list_age_s() * 1000,
         )
         self._follow_workers()
         self._worker_list.read_soon()
