Let the soak see work on workers that leave or have shrunk

Its check of leaving workers could never fail: the fault that lets a worker leave excused late starts for 4 s, and the worker was gone after 3 s. That a worker leaves is planned work and excuses nothing now, and neither does the loss of an entry, for what the others do. New: workers whose capacity shrinks and grows and that start whatever they are told to.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -18,6 +18,12 @@
     return asyncio.run(Day(plan=plan, folder=folder).play())
 
 
+def _split(kinds: str | tuple[str, ...]) -> tuple[str, ...]:
+    """Return names from a text with commas, which the command line may have split already."""
+    names = kinds.split(",") if isinstance(kinds, str) else kinds
+    return tuple(name for name in names if name)
+
+
 def soak(
     *,
     first: int = 1,
@@ -26,7 +32,7 @@
     workers: int = 9,
     faults: int = 12,
     cores: float = 1.0,
-    kinds: str = "",
+    kinds: str | tuple[str, ...] = "",
     logs: str = "",
     verbose: bool = False,
 ) -> None:
@@ -47,7 +53,7 @@
             workers=workers,
             faults=faults,
             cores=cores,
-            kinds=tuple(kind for kind in kinds.split(",") if kind),
+            kinds=_split(kinds),
         )
         with tempfile.TemporaryDirectory(prefix="soak-") as name:
             result = play_day(plan, Path(name))
--- a/bench/soak/_checks.py
+++ b/bench/soak/_checks.py
@@ -14,6 +14,8 @@
 DRAIN_S = 2.0
 # Workers of an evacuated zone get nothing new this long after the record, if nothing disturbed.
 EVACUATE_S = 1.0
+# A worker that has shrunk gets nothing beyond its capacity this long after it said so.
+SHRUNK_S = 2.0
 # Faults end this long before a bounded promise is held against zincwell.
 CALM_S = 4.0
 
@@ -41,6 +43,7 @@
         self.starts = 0
         self.answers_by_status: dict[str, int] = defaultdict(int)
         self.disturbed_at = time.monotonic()
+        self.harmed_at = time.monotonic()
         self._started: set[str] = set()
         self._running_by_task: dict[str, list[tuple[str, int]]] = defaultdict(list)
 
@@ -48,14 +51,24 @@
         """Note a broken promise."""
         self.broken.append(f"{rule} at {time.time():.3f}: {text}")
 
-    def disturb(self) -> None:
-        """Note that a fault begins or ends now."""
+    def disturb(self, *, harms: bool) -> None:
+        """Note that a fault begins or ends now.
+
+        :param harms: it also harms entries that live on: links, the store, processes that stand
+            still. The loss of an entry excuses nothing that the others do.
+        """
         self.disturbed_at = time.monotonic()
+        if harms:
+            self.harmed_at = self.disturbed_at
 
     def is_calm(self) -> bool:
         """Return whether no fault began or ended lately."""
         return time.monotonic() - self.disturbed_at > CALM_S
 
+    def is_unharmed(self) -> bool:
+        """Return whether no fault that harms living entries began or ended lately."""
+        return time.monotonic() - self.harmed_at > CALM_S
+
     def demands_of(self, task: str) -> tuple[int, float]:
         """Return how many thousandths of a core a task takes, and for how many seconds."""
         job = self.jobs_by_id.get(task.split(".")[0])
@@ -74,9 +87,12 @@
         running.append((worker.id, number))
         self._started.add(job_id)
         since = worker.draining_since
-        if since and time.monotonic() - since > DRAIN_S and self.is_calm():
+        if since and time.monotonic() - since > DRAIN_S and self.is_unharmed():
             self.fail("DRAIN", f"{task} run {number} on {worker.id}, leaving since {since:.1f}")
-
+        since = worker.shrunk_since
+        shrunk = worker.is_over_capacity() and time.monotonic() - since > SHRUNK_S
+        if shrunk and self.is_unharmed():
+            self.fail("LIMIT", f"{task} run {number} on {worker.id}, shrunk since {since:.1f}")
         since = worker.evacuated_since
         if since and time.monotonic() - since > EVACUATE_S and self.is_calm():
             self.fail("EVAC", f"{task} run {number} on {worker.id}, evacuated since {since:.1f}")
--- a/bench/soak/_faults.py
+++ b/bench/soak/_faults.py
@@ -24,8 +24,10 @@
 GAP_S = (0.0, 1.5)
 LENGTH_S = (0.3, 5.0)
 PAUSE_S = (0.2, 4.0)
-# What operators do by plan excuses nothing.
-PLANNED = {"evacuate"}
+# What operators and workers do by plan excuses nothing.
+PLANNED = {"evacuate", "drain_worker", "resize_worker"}
+# What ends a process harms no other one.
+HARMLESS_TO_OTHERS = {"kill_entry", "drain_entry", "crash_worker", "hang_up", "configure"}
 
 
 class Faults:
@@ -91,9 +93,10 @@
         if kind.__name__ in PLANNED:
             await kind()
         else:
-            self._checks.disturb()
+            harms = kind.__name__ not in HARMLESS_TO_OTHERS
+            self._checks.disturb(harms=harms)
             await kind()
-            self._checks.disturb()
+            self._checks.disturb(harms=harms)
         log.info("fault_over kind=%s", kind.__name__)
 
     async def _last(self) -> None:
@@ -249,6 +252,20 @@
             worker.crash()
             self._list(worker)
 
+    async def resize_worker(self) -> None:
+        """Let a worker's capacity shrink, and grow again after a while.
+
+        Drawn only when it is asked for by name, like evacuations.
+        """
+        worker = self._random.choice(self._workers)
+        life, cpu = worker.lives, worker.cpu
+        worker.resize(cpu // self._random.choice([2, 4]))
+        self._list(worker)
+        await self._last()
+        if worker.lives == life:
+            worker.resize(cpu)
+            self._list(worker)
+
     async def evacuate(self) -> None:
         """Ask as an operator that the workers of a zone get nothing new for a while.
 
--- a/bench/soak/_worker.py
+++ b/bench/soak/_worker.py
@@ -57,6 +57,9 @@
         self.lives += 1
         self.draining_since: float | None = None
         self.evacuated_since: float | None = None
+        self.shrunk_since = 0.0
+        self.cpu = CPU
+        self.guards = True
         self._rate = self._random.uniform(0.98, 1.0)
         self._offset_ms = self._random.randint(1_000, 900_000)
         self._fence = 0
@@ -73,6 +76,16 @@
             self._end(run, "lapsed")
         self.be_born()
 
+    def resize(self, cpu: int) -> None:
+        """Take another capacity, and start from now on whatever this worker is told to."""
+        self.cpu = cpu
+        self.guards = False
+        self.shrunk_since = time.monotonic()
+
+    def is_over_capacity(self) -> bool:
+        """Return whether more runs here than the worker holds."""
+        return sum(run.cpu for run in self._runs_by_task.values()) > self.cpu
+
     def document(self) -> dict:
         """Return the entry in the platform's list."""
         return {
@@ -80,7 +93,7 @@
             "addr": self.name,
             "zone": self.zone,
             "state": "draining" if self.draining_since else "ready",
-            "capacity": {"cpu": CPU, "memMb": 100_000, "gpu": 0},
+            "capacity": {"cpu": self.cpu, "memMb": 100_000, "gpu": 0},
             "labels": ["a", f"rack-{self.zone}"],
         }
 
@@ -128,7 +141,8 @@
         if body["deadlineMs"] <= self.clock_ms():
             return self._refuse("late")
         cpu, needs_s = self._checks.demands_of(task)
-        if present is not None or cpu > CPU - sum(r.cpu for r in self._runs_by_task.values()):
+        free_cpu = self.cpu - sum(run.cpu for run in self._runs_by_task.values())
+        if present is not None or (self.guards and cpu > free_cpu):
             return self._refuse("room")
         self._extend(body["deadlineMs"])
         self._highest_by_task[task] = number
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from pathlib import Path
 
 import pytest
@@ -52,12 +53,24 @@
     assert_that(result.broken, Equals([]))
 
 
+def test_workers_that_leave_or_shrink_while_owners_are_lost_get_nothing_more(tmp_path: Path):
+    kinds = ("drain_worker", "resize_worker", "kill_entry", "kill_entry", "drain_entry")
+    result = play_day(DayPlan(seed=9, faults=14, kinds=kinds), tmp_path)
+    assert_that(result.broken, Equals([]))
+    assert_that(result.answers_by_status["200"], GreaterThan(10))
+
+
 class FakeWorker:
     """A worker as the checks see it."""
 
     id = "worker-1"
-    draining_since = None
+    draining_since: float | None = None
     evacuated_since = None
+    shrunk_since = 0.0
+    is_full = False
+
+    def is_over_capacity(self) -> bool:
+        return self.is_full
 
 
 @pytest.fixture
@@ -95,6 +108,23 @@
     assert_that(rules(checks), Equals(["REFUSED"]))
 
 
+def test_the_checks_see_a_start_on_a_worker_that_leaves_though_an_entry_was_lost(checks: Checks):
+    checks.harmed_at -= 10
+    checks.disturb(harms=False)
+    worker = FakeWorker()
+    worker.draining_since = time.monotonic() - 2.5
+    checks.note_start(worker, "a.0.0.1", 1, "spec of a")
+    assert_that(rules(checks), Equals(["DRAIN"]))
+
+
+def test_the_checks_see_a_start_beyond_a_capacity_that_has_shrunk(checks: Checks):
+    checks.harmed_at -= 10
+    worker = FakeWorker()
+    worker.is_full, worker.shrunk_since = True, time.monotonic() - 2.5
+    checks.note_start(worker, "a.0.0.1", 1, "spec of a")
+    assert_that(rules(checks), Equals(["LIMIT"]))
+
+
 def test_the_checks_see_an_answer_before_the_end(checks: Checks):
     checks.note_start(FakeWorker(), "a.0.0.0", 1, "spec of a")
     checks.note_end(FakeWorker(), "a.0.0.0", 1, "done")
