Decode incarnation, kind and caller's timeout, and learn the lasting speed of workers

Workers may restart under their id and say when they were born; they come in kinds of different speed; callers say how long they wait.

--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -423,9 +423,7 @@
         if job is None or task is None or task.state is not TaskState.RUNNING:
             return
         if outcome is RunOutcome.DONE:
-            ratio = self._run_times.note_done(
-                job, run, worker=session.info.id, now=self._loop.time()
-            )
+            ratio = self._run_times.note_done(job, run, worker=session.info, now=self._loop.time())
             self._health.note_done(session, ratio)
             job.mark_done(task)
             self._report_task_done(job, task)
--- a/zincwell/dispatch/_run_times.py
+++ b/zincwell/dispatch/_run_times.py
@@ -4,13 +4,18 @@
 
 from zincwell.dispatch._jobs import Job
 from zincwell.dispatch._runs import Run
-from zincwell.dispatch.decisions import RunTimeEstimator
+from zincwell.dispatch._types import WorkerInfo
+from zincwell.dispatch.decisions import RunTimeEstimator, WorkerSpeeds
 
 
 class JobRunTimeEstimator:
-    """Estimates run times from the runs of the same job, of its route and of its worker."""
+    """Estimates run times from the runs of the same job, of its route and of its worker.
+
+    :ivar speeds: lasting speeds of the workers.
+    """
 
     def __init__(self) -> None:
+        self.speeds = WorkerSpeeds()
         self._estimator = RunTimeEstimator()
 
     def slowdown(self, worker: str) -> float:
@@ -32,18 +37,21 @@
         """Return how long the longest chain of a job's steps should run."""
         return self._estimator.expect_s(route=job.request.route, estimate_s=job.estimate_s)
 
-    def note_done(self, job: Job, run: Run, *, worker: str, now: float) -> float:
+    def note_done(self, job: Job, run: Run, *, worker: WorkerInfo, now: float) -> float:
         """Learn from a run that succeeded; return its run time divided by the expected one."""
         if run.adopted:
             return 1.0
         step = run.task.step
         run_s = now - run.ordered_at
         expected_s = self.expect_task_s(job, step)
-        self._estimator.note_done(
-            route=job.request.route,
-            worker=worker,
-            estimate_s=job.request.steps[step].estimate_ms / 1000,
+        estimate_s = job.request.steps[step].estimate_ms / 1000
+        route = job.request.route
+        self.speeds.note_done(
+            worker=worker.id,
+            kind=worker.kind,
             run_s=run_s,
+            expected_s=self._estimator.expect_s(route=route, estimate_s=estimate_s),
         )
+        self._estimator.note_done(route=route, worker=worker.id, estimate_s=estimate_s, run_s=run_s)
         job.min_run_s_by_step[step] = min(run_s, job.min_run_s_by_step.get(step, run_s))
         return run_s / expected_s if expected_s else 1.0
--- a/zincwell/dispatch/_types.py
+++ b/zincwell/dispatch/_types.py
@@ -65,6 +65,7 @@
     :param attempts: number of failed runs of one task after which the job fails.
     :param stretch: factor on the estimated run time in the response time objective.
     :param objective_ms: constant part of the response time objective.
+    :param timeout_ms: how long the caller waits for the answer; 0 if it did not say.
     """
 
     id: str
@@ -76,6 +77,7 @@
     attempts: int = 1
     stretch: float = 1.0
     objective_ms: int = 0
+    timeout_ms: int = 0
 
     def critical_path_ms(self) -> int:
         """Return the estimated run time of the longest chain of dependent steps."""
@@ -178,8 +180,11 @@
 class WorkerInfo(Struct, frozen=True, kw_only=True):
     """A worker as listed by the platform.
 
-    :param id: identifies one incarnation of the worker process.
+    :param id: identifies one incarnation of the worker process, together with ``born_ms``.
     :param cpu: thousandths of a core.
+    :param kind: hardware or software type; workers of one kind run tasks at a similar speed.
+    :param born_ms: Unix time in ms at which the process started. 0 on platforms that give each
+        incarnation a new id.
     """
 
     id: str
@@ -191,6 +196,8 @@
     gpu: int = 0
     labels: list[str] = []
     draining: bool = False
+    kind: str = ""
+    born_ms: int = 0
 
 
 class EntryInfo(Struct, frozen=True, kw_only=True):
--- a/zincwell/dispatch/decisions/__init__.py
+++ b/zincwell/dispatch/decisions/__init__.py
@@ -45,6 +45,7 @@
     is_slow_worker,
     is_stalled,
 )
+from zincwell.dispatch.decisions._worker_speeds import WorkerSpeeds
 
 __all__ = [
     "ANSWER_EXPIRY_OBJECTIVES",
@@ -67,6 +68,7 @@
     "QueueSimulation",
     "RunTimeEstimator",
     "StartForecast",
+    "WorkerSpeeds",
     "choose_long_poll_wait_s",
     "choose_other_cell",
     "choose_retry_after_s",
--- a/zincwell/dispatch/ports.py
+++ b/zincwell/dispatch/ports.py
@@ -171,11 +171,15 @@
 
 
 class HoldReply(Struct, frozen=True, kw_only=True):
-    """The active runs of a worker, and those that ended after the acknowledged number."""
+    """The active runs of a worker, and those that ended after the acknowledged number.
+
+    :param born_ms: incarnation of the worker that answered, see `WorkerInfo`.
+    """
 
     clock_ms: int
     running: list[ActiveRun]
     ended: list[EndedRun]
+    born_ms: int = 0
 
 
 class WorkerClient(abc.ABC):
--- a/zincwell/platform/_callers.py
+++ b/zincwell/platform/_callers.py
@@ -11,12 +11,13 @@
 from zincwell.dispatch._types import Outcome, Route, Verdict
 from zincwell.exceptions import BadRequestError
 from zincwell.platform._server import HttpRequest, HttpResponse
-from zincwell.platform._wire import UnsupportedJobError, decode_job
+from zincwell.platform._wire import UnsupportedJobError, decode_job, decode_timeout
 
 log = logging.getLogger("zincwell.http")
 
 READY_PATH = "/v1/ready"
 METRICS_PATH = "/metrics"
+TIMEOUT_HEADER = "timeout-ms"
 STATUS_BY_VERDICT = {
     Verdict.SUCCEEDED: 200,
     Verdict.FAILED: 200,
@@ -71,7 +72,8 @@
 
     async def _submit(self, request: HttpRequest, route: Route, job_id: str) -> HttpResponse:
         try:
-            job = decode_job(request.body, job_id=job_id, route=route)
+            timeout_ms = decode_timeout(request.headers.get(TIMEOUT_HEADER, ""))
+            job = decode_job(request.body, job_id=job_id, route=route, timeout_ms=timeout_ms)
         except UnsupportedJobError as error:
             return _reject(request, 501, str(error))
         except BadRequestError as error:
--- a/zincwell/platform/_wire.py
+++ b/zincwell/platform/_wire.py
@@ -21,6 +21,8 @@
 WORKER_ADDRESS = re.compile(r"[0-9A-Za-z.-]+:[0-9]{1,5}")
 # Larger capacities are implausible for a machine, so the record is malformed.
 MAX_CAPACITY = 1e12
+# A longer number of milliseconds is no plausible timeout.
+MAX_TIMEOUT_DIGITS = 9
 # Workers report this for a run that waited in vain for the other members of its gang.
 GANG_INCOMPLETE = "alone"
 
@@ -108,7 +110,11 @@
 
 
 class WorkerBody(Struct, rename="camel"):
-    """A worker's record in the store."""
+    """A worker's record in the store.
+
+    :param labels: the worker's kind, then its rack.
+    :param born: Unix time in ms at which the process started.
+    """
 
     service: str
     addr: str
@@ -116,6 +122,7 @@
     state: str
     capacity: CapacityBody
     labels: list[str] = []
+    born: int = 0
 
 
 class WorkerReplyBody(Struct, rename="camel"):
@@ -125,14 +132,16 @@
     """
 
     clock_ms: int | None = None
+    born: int = 0
     reason: str = ""
     running: list[list] = []
     ended: list[list] = []
 
 
-def decode_job(body: bytes, *, job_id: str, route: Route) -> JobRequest:
+def decode_job(body: bytes, *, job_id: str, route: Route, timeout_ms: int = 0) -> JobRequest:
     """Decode and validate a caller's job.
 
+    :param timeout_ms: how long the caller waits for the answer; 0 if it did not say.
     :raises BadRequestError: if a field is invalid; the message names the field.
     :raises UnsupportedJobError: if the job or its route needs an unsupported feature.
     """
@@ -160,9 +169,15 @@
         attempts=route.attempts,
         stretch=route.stretch,
         objective_ms=route.objective_ms,
+        timeout_ms=timeout_ms,
     )
 
 
+def decode_timeout(text: str) -> int:
+    """Return how long a caller waits for the answer, in ms; 0 if it did not say a valid time."""
+    return int(text) if text.isascii() and text.isdigit() and len(text) <= MAX_TIMEOUT_DIGITS else 0
+
+
 def _check_supported(job: JobBody, route: Route) -> None:
     if route.ticketed:
         raise UnsupportedJobError("advice: queues whose starts need a ticket are not supported")
@@ -271,6 +286,8 @@
         gpu=int(worker.capacity.gpu),
         labels=worker.labels,
         draining=worker.state == DRAINING,
+        kind=worker.labels[0] if worker.labels else "",
+        born_ms=worker.born,
     )
 
 
@@ -289,6 +306,7 @@
     """Decode a worker's response to a hold call: its active runs and the ended ones."""
     return HoldReply(
         clock_ms=reply.clock_ms or 0,
+        born_ms=reply.born,
         running=[
             ActiveRun(task=parse_task(row[0]), run=int(row[1]), percent=float(row[3]))
             for row in reply.running
