Give a failure domain that can serve its callers alone a cell of its own

Cells had as many domains as an owner can carry. In a partition, the callers of a domain whose owner is in another one waited for a stand-in, and what they had sent had an unknown outcome. A domain of 32 workers or more with two entries strong enough to own it is now a cell of its own.

--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -14,6 +14,7 @@
 from zincwell.dispatch._cells import SINGLE_CELL_LAYOUT, make_layout
 from zincwell.dispatch._types import EntryInfo, Verdict
 from zincwell.dispatch.decisions import (
+    MIN_OWN_CELL_WORKERS,
     NO_WORKERS_BACKLOG_S,
     WORKERS_PER_CORE,
     CellShape,
@@ -53,6 +54,31 @@
     assert_that(domains_of(plan_cells(domains, [])), Equals(["a", "b", "c", "d"]))
 
 
+def test_a_large_domain_does_not_share_an_owner_that_could_carry_it():
+    # Failure: in a partition, the callers of a domain whose owner is in another one get unknown
+    # outcomes until a stand-in takes over.
+    domains = make_domains(MIN_OWN_CELL_WORKERS, cores_to_own(200, 200))
+    domains |= make_domains(MIN_OWN_CELL_WORKERS - 2, cores_to_own(200, 200), names="ef")
+    assert_that(domains_of(plan_cells(domains, [])), Equals(["a", "b", "c", "d", "ef"]))
+
+
+def test_a_large_domain_without_a_strong_successor_shares_a_cell():
+    # Failure: the only strong entry of a domain fails, and its successor is late with all starts.
+    domains = make_domains(MIN_OWN_CELL_WORKERS, cores_to_own(200, 10), names="a")
+    domains |= make_domains(MIN_OWN_CELL_WORKERS, cores_to_own(200), names="b")
+    assert_that(domains_of(plan_cells(domains, [])), Equals(["ab"]))
+
+
+@pytest.mark.parametrize("workers", [20, 26, 32, 38])
+def test_a_domain_near_the_size_of_an_own_cell_stays_as_it_is(workers: int):
+    # Failure: workers that come and go change the layout back and forth, which ends all runs.
+    domains = make_domains(workers, cores_to_own(200, 200), names="ab")
+    shared = [CellShape(domains=("a", "b"))]
+    own = [CellShape(domains=("a",)), CellShape(domains=("b",))]
+    assert_that(plan_cells(domains, shared), Equals(shared))
+    assert_that(plan_cells(domains, own), Equals(own))
+
+
 def test_domains_share_an_owner_that_carries_them():
     assert_that(
         domains_of(plan_cells(make_domains(30, cores_to_own(80, 80)), [])), Equals(["ab", "cd"])
--- a/zincwell/dispatch/decisions/__init__.py
+++ b/zincwell/dispatch/decisions/__init__.py
@@ -24,6 +24,7 @@
     should_use_home_cell,
 )
 from zincwell.dispatch.decisions._cells import (
+    MIN_OWN_CELL_WORKERS,
     WORKERS_PER_CORE,
     CellShape,
     DomainSize,
@@ -51,6 +52,7 @@
     "ANSWER_EXPIRY_OBJECTIVES",
     "MAX_ANSWER_TIMEOUT_S",
     "MAX_LOOP_LAG_S",
+    "MIN_OWN_CELL_WORKERS",
     "MIN_PROGRESS_PERCENT",
     "NO_WORKERS_BACKLOG_S",
     "SLOW_WORKER_RATIO",
