--- a/zincwell/dispatch/decisions/_cells.py
+++ b/zincwell/dispatch/decisions/_cells.py
@@ -23,8 +23,8 @@
 # 0.8 ms of processor time each; an owner that is busy for more than 0.4 of its time delays the
 # starts of short tasks.
 WORKERS_PER_CORE = 64
-# A domain with at least this many workers is a cell of its own. Hardly any job has more tasks, so an
-# idle domain starts all tasks of a job at once without workers of other domains.
+# A domain with at least this many workers is a cell of its own. Hardly any job has more tasks, so
+# an idle domain starts all tasks of a job at once without workers of other domains.
 MIN_OWN_CELL_WORKERS = 32
 # An owner in the domain needs a successor there.
 MIN_OWN_CELL_ENTRIES = 2
