--- a/tests/test_cells.py
+++ b/tests/test_cells.py
@@ -433,3 +433,24 @@
     jobs = [submit(world, name, f"job-{name}", run_ms=400) for name in world.nodes]
     await finish(jobs)
     assert_that(verdicts(jobs), Equals({Verdict.SUCCEEDED}))
+
+
+async def test_a_partition_does_not_interrupt_a_domain_with_its_own_cell(world: World):
+    # Failure: the callers of a partitioned domain get no answer for a second, or an unknown one.
+    # Its owner is in another domain although strong entries of its own could serve its workers.
+    strong = cores_to_own(2 * MIN_OWN_CELL_WORKERS)[0]
+    await world.open(entries=3, workers=MIN_OWN_CELL_WORKERS, cores=strong)
+    await asyncio.sleep(4)
+    assert_that({world.nodes[name].me.zone for name in world.owners()}, Equals(set("abc")))
+    owners = world.owners()
+    world.cut_zone("b")
+    jobs = []
+    for number in range(20):
+        jobs += [submit(world, name, f"job-{name}-{number}", run_ms=60) for name in world.nodes]
+        await asyncio.sleep(0.05)
+    await finish(jobs, within_s=0.2)
+    assert_that(verdicts(jobs), Equals({Verdict.SUCCEEDED}))
+    world.heal()
+    await asyncio.sleep(3)
+    assert_that(world.owners(), Equals(owners))
+    assert_that(world.violations, Equals([]))
