Judge workers against their own lasting speed

Healthy workers of a slow kind were compared with the typical worker and quarantined, about 30 times a second without a fault. Expected run times of a run now include the lasting slowdown of its worker where workers are uneven. A worker is slow if several of its runs are long, or if a run became slower while it ran; a single long run makes it suspect, and it is ranked last. The session fixture of test_scheduling gets the new attribute. Not measured yet.

--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -117,7 +117,9 @@
 def make_session(name: str, free_cpu: int, *, free_memory: int = 1000, rack: str = "r1"):
     """Return a stub of a worker session with the attributes that placement reads."""
     info = SimpleNamespace(id=name, labels=[rack])
-    return SimpleNamespace(info=info, free_cpu=free_cpu, free_memory=free_memory, free_gpu=0)
+    return SimpleNamespace(
+        info=info, free_cpu=free_cpu, free_memory=free_memory, free_gpu=0, suspect=False
+    )
 
 
 @pytest.mark.parametrize("seed", range(20))
--- a/zincwell/dispatch/_jobs.py
+++ b/zincwell/dispatch/_jobs.py
@@ -55,7 +55,10 @@
     :param smallest_cpu: smallest CPU demand of its steps, in millicores.
     :param queued_in: list of the queue that holds it, or None.
     :param fit_checked_version: version of the worker set that it was last checked against.
-    :param min_run_s_by_step: shortest run time of a done task, for each step that has one.
+    :param min_run_s_by_step: shortest run time of a done task, for each step that has one, as on a
+        typical worker.
+    :param run_logs_by_step: for each step, the logarithms of its done tasks' run times on a typical
+        worker, divided by what was expected of the route.
     """
 
     request: JobRequest
@@ -74,6 +77,7 @@
     queued_in: list[Job] | None = None
     fit_checked_version: int = -1
     min_run_s_by_step: dict[int, float] = field(default_factory=dict)
+    run_logs_by_step: dict[int, list[float]] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Create the tasks of all steps."""
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -25,6 +25,7 @@
 from zincwell.dispatch.decisions import (
     NO_WORKERS_BACKLOG_S,
     AnswerLossDetector,
+    is_slow_run,
     min_poll_interval_s,
 )
 from zincwell.dispatch.ports import EndKind, WorkerClient
@@ -168,6 +169,7 @@
             sessions_by_id=self._workers.sessions_by_id,
             on_capacity_available=self.on_capacity_available,
             expected_run_s=self._expected_run_s,
+            run_times=self._run_times,
             moves_of=self._moves_of,
             metrics=metrics,
         )
@@ -202,11 +204,18 @@
             self._opened_at = self._loop.time()
             self._loop.call_later(STARTUP_DELAY_S, self.on_capacity_available)
         self._workers.update(infos)
+        self._note_workers()
         self.on_capacity_available()
 
     def probe_unlisted_workers(self, infos: list[WorkerInfo]) -> None:
         """Open sessions with workers that have left the list but may still answer."""
         self._workers.probe_unlisted(infos)
+        self._note_workers()
+
+    def _note_workers(self) -> None:
+        """Learn the workers' kinds, and forget the speeds of those whose sessions were closed."""
+        sessions_by_id = self._workers.sessions_by_id
+        self._run_times.set_workers({name: s.info for name, s in sessions_by_id.items()})
 
     def evacuate(self, domains: Collection[str]) -> None:
         """Start no tasks on the workers of these failure domains; runs already there continue.
@@ -340,6 +349,8 @@
             "workers_silent": sum(1 for s in sessions if s.silent),
             "workers_over_capacity": sum(1 for s in sessions if s.free_cpu < 0),
             "runs": sum(len(s.runs) for s in sessions),
+            **self._health.gauges(),
+            **self._run_times.gauges(),
         }
 
     def _adopt_existing_runs(self, job: Job) -> None:
@@ -423,8 +434,7 @@
         if job is None or task is None or task.state is not TaskState.RUNNING:
             return
         if outcome is RunOutcome.DONE:
-            ratio = self._run_times.note_done(job, run, worker=session.info, now=self._loop.time())
-            self._health.note_done(session, ratio)
+            self._health.note_done(session, run, self._note_run_time(session, job, run))
             job.mark_done(task)
             self._report_task_done(job, task)
             return
@@ -472,7 +482,7 @@
             return run.expected_s
         expected_s = self._run_times.expect_task_s(job, run.task.step)
         others = [
-            total_s
+            total_s / self._run_times.lasting_slowdown(other.info)
             for other, sibling in self._runs.of_job(run.task.job)
             if other is not session
             and sibling.task.step == run.task.step
@@ -480,6 +490,21 @@
         ]
         return max(expected_s, min(others, default=0.0))
 
+    def _note_run_time(self, session: WorkerSession, job: Job, run: Run) -> float:
+        """Learn from a run that succeeded; return its run time divided by the expected one.
+
+        A run that seems slow is compared with the runs of the same step on other workers.
+        """
+        now = self._loop.time()
+        run_s = now - run.ordered_at
+        compared = 0.0
+        if run.expected_s and is_slow_run(run_s / run.expected_s):
+            # Before the run is noted, since it would be compared with itself afterwards.
+            lasting_slowdown = self._run_times.lasting_slowdown(session.info)
+            compared = run_s / (self._expected_run_s(session, run) * lasting_slowdown)
+        ratio = self._run_times.note_done(job, run, worker=session.info, now=now)
+        return min(ratio, compared) if compared else ratio
+
     def _moves_of(self, run: Run) -> int:
         job = self.jobs.jobs_by_id.get(run.task.job)
         task = job.task(run.task) if job is not None else None
@@ -509,7 +534,7 @@
             memory_mb=step.memory_mb,
             gpu=step.gpu,
             ordered_at=self._loop.time(),
-            expected_s=self._run_times.expect_task_s(job, task.step),
+            expected_s=self._run_times.expect_run_s(job, task.step, session.info),
             adopted=True,
         )
 
--- a/zincwell/dispatch/_placement.py
+++ b/zincwell/dispatch/_placement.py
@@ -25,7 +25,7 @@
 
         Best fit is the worker with the least free processor capacity, so that large tasks still
         find room on others. Workers near the task's data are preferred; workers that the task
-        should avoid, such as one on which it has failed, come last.
+        should avoid, such as one on which it has failed, come last, as do workers that may be slow.
         """
         best: WorkerSession | None = None
         best_rank = (True, True)
@@ -34,7 +34,7 @@
             if not fits_now(session, step=step, task=task):
                 continue
             rank = (
-                session.info.id in task.avoided_workers,
+                session.suspect or session.info.id in task.avoided_workers,
                 bool(step.rack) and step.rack not in session.info.labels,
             )
             if not any(rank):
--- a/zincwell/dispatch/_runs.py
+++ b/zincwell/dispatch/_runs.py
@@ -15,6 +15,11 @@
 
 # Estimated remaining time of a run that has exceeded its expected time, as a share of that time.
 OVERRUN_REMAINING_SHARE = 0.1
+# The speed of a run is measured over windows of at least this time and progress. Progress is
+# reported in whole percent, so that a change by a factor of 2.5 shows from 4% on.
+RATE_WINDOW_MS = 100
+RATE_WINDOW_PERCENT = 4.0
+PERCENT_ERROR = 1.0
 
 
 class RunOutcome(enum.Enum):
@@ -38,7 +43,7 @@
     Attributes that end in ``_ms`` are times on the worker's clock, so that late reports, caused by
     a slow connection or a suspended worker, don't distort the measured speed.
 
-    :param expected_s: expected run time on a typical worker.
+    :param expected_s: expected run time on its worker in the long run.
     :param adopted: whether a previous owner ordered it.
     :param confirmed_at: when the worker first confirmed it, or None while the start is unconfirmed.
     :param start_deadline_ms: time after which the worker refuses the start order.
@@ -47,6 +52,11 @@
     :param started_ms: when it was first known to be active, or None.
     :param first_percent: its progress at ``started_ms``.
     :param last_progress_ms: when its latest progress was first reported.
+    :param excused: whether it was slow while other runs on its worker were on time, so that the
+        reason is the task and not the worker.
+    :param window_ms: start of the current window over which its speed is measured.
+    :param recent_rate: upper bound of its latest speed in percent per ms, or None.
+    :param best_rate: lower bound of its highest speed in any full window, or None.
     """
 
     task: TaskId
@@ -67,12 +77,18 @@
     first_percent: float = 0.0
     percent: float = 0.0
     last_progress_ms: int = 0
+    excused: bool = False
+    window_ms: int = 0
+    window_percent: float = 0.0
+    recent_rate: float | None = None
+    best_rate: float | None = None
 
     def note_started(self, clock_ms: int, *, percent: float = 0.0) -> None:
         """Record the first report that the run is active."""
         if self.started_ms is None:
             self.started_ms = self.last_progress_ms = clock_ms
             self.first_percent = self.percent = percent
+            self.window_ms, self.window_percent = clock_ms, percent
 
     def note_progress(self, clock_ms: int, *, percent: float) -> None:
         """Record the progress of the run."""
@@ -80,6 +96,36 @@
         if percent > self.percent:
             self.percent = percent
             self.last_progress_ms = clock_ms
+        self._note_rate(clock_ms)
+
+    def _note_rate(self, clock_ms: int) -> None:
+        elapsed_ms = clock_ms - self.window_ms
+        if elapsed_ms < RATE_WINDOW_MS:
+            return
+        gained = self.percent - self.window_percent
+        self.recent_rate = (gained + PERCENT_ERROR) / elapsed_ms
+        if gained >= RATE_WINDOW_PERCENT:
+            self.best_rate = max(self.best_rate or 0.0, (gained - PERCENT_ERROR) / elapsed_ms)
+            self.window_ms, self.window_percent = clock_ms, self.percent
+
+    def slowed_by(self) -> float | None:
+        """Return by which factor it is slower now than it was at its fastest.
+
+        None until it was measured over one full window.
+        """
+        if self.best_rate is None or self.recent_rate is None:
+            return None
+        return self.best_rate / self.recent_rate
+
+    def recent_total_s(self) -> float | None:
+        """Return its total run time in seconds at its latest speed; None until that is known."""
+        if self.recent_rate is None:
+            return self.projected_total_s()
+        return 0.1 / self.recent_rate
+
+    def best_total_s(self) -> float | None:
+        """Return its total run time in seconds at its highest speed, or None."""
+        return 0.1 / self.best_rate if self.best_rate else None
 
     def stalled_s(self, clock_ms: int) -> float:
         """Return the time in seconds without progress; 0 if the run is not known to be active."""
--- a/zincwell/dispatch/_scheduler.py
+++ b/zincwell/dispatch/_scheduler.py
@@ -112,7 +112,7 @@
             memory_mb=step.memory_mb,
             gpu=step.gpu,
             ordered_at=now,
-            expected_s=self._run_times.expect_task_s(job, task.id.step),
+            expected_s=self._run_times.expect_run_s(job, task.id.step, session.info),
         )
         worker_list_age_s = self._worker_list_age_s()
         self._metrics.record("start_list_age", worker_list_age_s)
--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -110,6 +110,8 @@
     :ivar fenced: whether the worker has accepted a higher fencing token.
     :ivar replaced: whether another process has taken the worker's address.
     :ivar on_probation: whether the worker gets one run at a time, after a quarantine.
+    :ivar suspect: whether a single long run is the only evidence of its condition. Tasks start on
+        other workers first.
     """
 
     def __init__(
@@ -135,6 +137,7 @@
         self.pause_until = 0.0
         self.quarantined_until = 0.0
         self.on_probation = False
+        self.suspect = False
         self.consecutive_failures = 0
         self.failed_jobs: set[str] = set()
         self._used_cpu = 0
--- a/zincwell/dispatch/decisions/__init__.py
+++ b/zincwell/dispatch/decisions/__init__.py
@@ -40,12 +40,16 @@
 from zincwell.dispatch.decisions._run_time_estimates import SLOW_WORKER_RATIO, RunTimeEstimator
 from zincwell.dispatch.decisions._stragglers import (
     MIN_PROGRESS_PERCENT,
+    RunEvidence,
+    WorkerCondition,
+    classify_run,
     is_move_worthwhile,
     is_slow_run,
     is_slow_worker,
     is_stalled,
+    judge_worker,
 )
-from zincwell.dispatch.decisions._worker_speeds import WorkerSpeeds
+from zincwell.dispatch.decisions._worker_speeds import WorkerSpeeds, estimate_step_log
 
 __all__ = [
     "ANSWER_EXPIRY_OBJECTIVES",
@@ -66,18 +70,23 @@
     "LateJobDecision",
     "OfferedLoad",
     "QueueSimulation",
+    "RunEvidence",
     "RunTimeEstimator",
     "StartForecast",
+    "WorkerCondition",
     "WorkerSpeeds",
     "choose_long_poll_wait_s",
     "choose_other_cell",
     "choose_retry_after_s",
+    "classify_run",
     "count_waves",
+    "estimate_step_log",
     "is_move_worthwhile",
     "is_slow_run",
     "is_slow_worker",
     "is_stalled",
     "judge_late_job",
+    "judge_worker",
     "meets_objective",
     "min_poll_interval_s",
     "plan_cells",
--- a/zincwell/dispatch/decisions/_run_time_estimates.py
+++ b/zincwell/dispatch/decisions/_run_time_estimates.py
@@ -5,6 +5,9 @@
 task on such a worker is late, whatever else goes well, and only run times reveal the worker: it
 answers quickly and reports itself as healthy.
 
+A worker's speed here is that of its last few runs, against its own lasting speed
+(`_worker_speeds`).
+
 All means are taken over logarithms, so that half and double weigh the same.
 """
 
@@ -19,8 +22,8 @@
 WORKER_WEIGHT = 0.3
 # One run counts as at most this many times slower or faster than expected.
 MAX_RATIO = 10.0
-# Runs on a worker that is this many times slower than the others say nothing about their route.
-# Healthy workers are within 1.25.
+# Runs on a worker that is this many times slower than in the long run say nothing about their
+# route.
 SLOW_WORKER_RATIO = 2.0
 
 
@@ -39,14 +42,29 @@
         return estimate_s * math.exp(self._log_by_route.get(route, 0.0))
 
     def slowdown(self, worker: str) -> float:
-        """Return how many times longer than on a typical worker tasks run on this one."""
+        """Return how many times longer than in the long run tasks now take on this worker."""
         return math.exp(self._log_by_worker.get(worker, 0.0))
 
-    def note_done(self, *, route: str, worker: str, estimate_s: float, run_s: float) -> None:
-        """Update the means of route and worker with a run that succeeded."""
+    def forget(self, worker: str) -> None:
+        """Forget a worker that has left."""
+        self._log_by_worker.pop(worker, None)
+
+    def note_done(
+        self,
+        *,
+        route: str,
+        worker: str,
+        estimate_s: float,
+        run_s: float,
+        lasting_slowdown: float = 1.0,
+    ) -> None:
+        """Update the means of route and worker with a run that succeeded.
+
+        :param lasting_slowdown: run time on this worker, in the long run, against the typical one.
+        """
         if estimate_s <= 0 or run_s <= 0:
             return
-        ratio = min(max(run_s / estimate_s, 1 / MAX_RATIO), MAX_RATIO)
+        ratio = min(max(run_s / lasting_slowdown / estimate_s, 1 / MAX_RATIO), MAX_RATIO)
         by_route = self._log_by_route.get(route, 0.0)
         by_worker = self._log_by_worker.get(worker, 0.0)
         excess = math.log(ratio) - by_route
--- a/zincwell/dispatch/decisions/_stragglers.py
+++ b/zincwell/dispatch/decisions/_stragglers.py
@@ -1,7 +1,13 @@
-"""Straggler detection: which runs have stalled or are far too slow, and whether to move them.
+"""Straggler detection: which workers are slow, which runs have stalled, and whether to move them.
 
 Load condition: for some seconds a sixth of the workers stall everything that runs there, or run it
-five times slower. Jobs have several tasks each, so most jobs have one on such a worker.
+five times slower. Jobs have several tasks each, so most jobs have one on such a worker. At the same
+time, without any fault, the workers of one kind take twice as long as others for everything, and
+three tasks in a hundred take seven times as long as expected.
+
+So a run is compared with what its worker takes in the long run, and with its own earlier speed, and
+one long run is never enough to exclude a worker. Long tasks occupy a worker for longer than others:
+18% of the tasks that are running are long ones.
 
 A run that is moved is stopped first, and starts elsewhere only when the worker shows that it has
 ended, so a task never runs twice at a time. The work that it has done is lost. So a run is moved
@@ -11,6 +17,7 @@
 
 from __future__ import annotations
 
+import enum
 from collections.abc import Sequence
 
 # Progress is reported in whole percent. Below this many, the run time can't be extrapolated.
@@ -27,6 +34,10 @@
 SLOW_RUNS_RATIO = 2.5
 # The same with a single run to judge by.
 SINGLE_SLOW_RUN_RATIO = 3.5
+# One long run excludes a worker if this share of the workers, and this number of them, are known to
+# be slow. Then a slow worker is more likely the reason than a long task.
+MIN_SLOW_SHARE = 0.1
+MIN_SLOW_WORKERS = 2
 # Stopping a run takes up to 0.05 s; detecting its end and starting it elsewhere takes some 0.02 s
 # more.
 MOVE_COST_S = 0.07
@@ -35,11 +46,36 @@
 MAX_MOVES = 2
 
 
+class RunEvidence(enum.Enum):
+    """What a run says about its worker.
+
+    ``LONG``: it takes long, for reasons of the task or of the worker. ``SLOWED``: it has become
+    slower while it ran, which is not the task's doing. ``NONE``: nothing; it is long by itself, or
+    its speed is not known yet.
+    """
+
+    ON_TIME = enum.auto()
+    LONG = enum.auto()
+    SLOWED = enum.auto()
+    NONE = enum.auto()
+
+
+class WorkerCondition(enum.Enum):
+    """Condition of a worker, judged by its runs.
+
+    ``SUSPECT``: one long run is the only evidence. New tasks go to other workers first.
+    """
+
+    WELL = enum.auto()
+    SUSPECT = enum.auto()
+    SLOW = enum.auto()
+
+
 def is_stalled(*, stalled_s: float, expected_s: float) -> bool:
     """Return whether a run has stalled.
 
     :param stalled_s: for how long its worker has shown no progress of it.
-    :param expected_s: how long it takes on a typical worker.
+    :param expected_s: how long it takes on its worker in the long run.
     """
     return stalled_s >= min(max(STALL_SHARE * expected_s, MIN_STALL_S), MAX_STALL_S)
 
@@ -63,11 +99,58 @@
     return min(ratios) >= (SLOW_RUNS_RATIO if len(ratios) > 1 else SINGLE_SLOW_RUN_RATIO)
 
 
+def classify_run(*, ratio: float | None, slowed_by: float | None, excused: bool) -> RunEvidence:
+    """Return what an active run says about its worker.
+
+    :param ratio: run time at its latest speed, divided by the expected one on this worker.
+    :param slowed_by: by which factor it has become slower while it ran, or None if not known.
+    :param excused: whether it was as slow while other runs on its worker were on time.
+    """
+    if ratio is None:
+        return RunEvidence.NONE
+    if not is_slow_run(ratio):
+        return RunEvidence.ON_TIME
+    if slowed_by is not None and slowed_by >= SLOW_RUNS_RATIO:
+        return RunEvidence.SLOWED
+    return RunEvidence.NONE if excused else RunEvidence.LONG
+
+
+def judge_worker(
+    active: Sequence[tuple[RunEvidence, float]],
+    *,
+    late_ratios: Sequence[float],
+    other_slow_workers: int,
+    workers: int,
+    on_probation: bool,
+) -> WorkerCondition:
+    """Return the condition of a worker.
+
+    :param active: what each of its runs says, with its ratio; see `classify_run`.
+    :param late_ratios: the same ratios of runs that ended late since the last one that ended on
+        time.
+    :param other_slow_workers: number of other workers that are known to be slow.
+    :param workers: number of workers.
+    :param on_probation: whether the worker was slow and has not shown yet that it has recovered.
+    """
+    if any(evidence is RunEvidence.ON_TIME for evidence, _ in active):
+        return WorkerCondition.WELL
+    ratios = [ratio for evidence, ratio in active if evidence is not RunEvidence.NONE]
+    ratios += late_ratios
+    if not is_slow_worker(ratios):
+        return WorkerCondition.SUSPECT if ratios else WorkerCondition.WELL
+    many_slow = other_slow_workers >= max(MIN_SLOW_WORKERS, MIN_SLOW_SHARE * workers)
+    has_slowed = any(evidence is RunEvidence.SLOWED for evidence, _ in active)
+    if len(ratios) > 1 or has_slowed or many_slow or on_probation:
+        return WorkerCondition.SLOW
+    return WorkerCondition.SUSPECT
+
+
 def is_move_worthwhile(*, remaining_s: float, expected_s: float, moves: int) -> bool:
     """Return whether a run ends clearly sooner if it is restarted on another worker.
 
     :param remaining_s: how long it would still run where it is.
-    :param expected_s: how long it takes on a typical worker.
+    :param expected_s: how long it takes on a typical worker. If the run is long by itself, it is
+        as long there.
     :param moves: how often the task was moved already.
     """
     return moves < MAX_MOVES and remaining_s > MIN_MOVE_GAIN * expected_s + MOVE_COST_S
