Find slow workers by their own changes, and replay both situations in virtual time

A run whose siblings are as long counted as proof that its worker was well, so that several slow workers hid each other, and late ends from before a quarantine renewed it. Such a run now says nothing, and the evidence starts anew with each quarantine. In the first second of an owner the uncertainty of a worker's speed is allowed for.

--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -66,6 +66,9 @@
     number: int
     started_at: float
     end_timer: asyncio.TimerHandle | None
+    # Progress at the time of the last change of the worker's speed, and that time.
+    share_before: float = 0.0
+    changed_at: float | None = None
 
 
 @dataclass
@@ -176,10 +179,25 @@
     def percent(self, run: FakeRun, now: float) -> float:
         if self.hangs:
             return 0.0
-        return 100 * (now - run.started_at) / self.run_s(run.task)
+        since = run.started_at if run.changed_at is None else run.changed_at
+        return 100 * (run.share_before + (now - since) / self.run_s(run.task))
 
     def run_s(self, task: TaskId) -> float:
-        return self.world.run_s_by_job.get(task.job, 0.2) * self.slowness
+        own = self.world.run_factor_by_task.get(task, 1.0)
+        return self.world.run_s_by_job.get(task.job, 0.2) * own * self.slowness
+
+    def change_slowness(self, slowness: float) -> None:
+        """Change the speed, also of the active runs."""
+        now = self.world.loop.time()
+        for run in self.runs.values():
+            run.share_before = self.percent(run, now) / 100
+            run.changed_at = now
+        self.slowness = slowness
+        for run in self.runs.values():
+            if run.end_timer:
+                run.end_timer.cancel()
+                remaining_s = (1 - run.share_before) * self.run_s(run.task)
+                run.end_timer = self.world.loop.call_later(remaining_s, self.end, run, EndKind.DONE)
 
     def crash(self) -> None:
         """Stop and lose all runs; a restarted worker at this address gets another id."""
@@ -203,6 +221,8 @@
         self.store_down_for: set[str] = set()
         self.store_changed: asyncio.Event
         self.run_s_by_job: dict[str, float] = {}
+        # Factor by which single tasks take longer than the others of their job, on any worker.
+        self.run_factor_by_task: dict[TaskId, float] = {}
         self.cpu_by_job: dict[str, int] = {}
         self.done: dict[TaskId, int] = defaultdict(int)
         self.starts: list[tuple[float, str, TaskId, int]] = []
@@ -268,9 +288,17 @@
         for node in self.nodes.values():
             node.close()
 
-    def add_worker(self, worker_id: str, zone: str, *, cpu: int = 64_000) -> FakeWorker:
+    def add_worker(
+        self, worker_id: str, zone: str, *, cpu: int = 64_000, kind: str = ""
+    ) -> FakeWorker:
         info = WorkerInfo(
-            id=worker_id, service="svc", address=worker_id, zone=zone, cpu=cpu, memory_mb=64_000
+            id=worker_id,
+            service="svc",
+            address=worker_id,
+            zone=zone,
+            cpu=cpu,
+            memory_mb=64_000,
+            kind=kind,
         )
         worker = FakeWorker(world=self, info=info)
         self.workers[worker_id] = worker
--- a/zincwell/dispatch/_health.py
+++ b/zincwell/dispatch/_health.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import logging
+import math
 import weakref
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -21,6 +22,7 @@
     WorkerCondition,
     classify_run,
     is_move_worthwhile,
+    is_on_time,
     is_slow_run,
     is_stalled,
     judge_worker,
@@ -169,12 +171,15 @@
             # It was ordered at an unknown time.
             return
         now = self._loop.time()
-        if not is_slow_run(ratio):
+        ratio /= self._tolerance(session)
+        # As with active runs, one that is late like the rest of its job shows nothing.
+        was_on_time = run.expected_s and is_on_time((now - run.ordered_at) / run.expected_s)
+        if was_on_time and is_on_time(ratio):
             ended.on_time_from, ended.on_time_until = run.ordered_at, now
             ended.is_on_time_new = True
             ended.late.clear()
             session.suspect = False
-        elif not run.excused and not ended.was_on_time_during(run):
+        elif is_slow_run(ratio) and not run.excused and not ended.was_on_time_during(run):
             ended.late.append((now, ratio))
 
     def _judge(self, session: WorkerSession, runs: list[Run]) -> WorkerCondition:
@@ -201,25 +206,29 @@
         return judge_worker(
             active,
             late_ratios=late_ratios,
-            other_slow_workers=self._count_other_slow(session),
-            workers=len(self._sessions_by_id),
             on_probation=session.on_probation,
         )
 
-    def _count_other_slow(self, session: WorkerSession) -> int:
-        return sum(
-            1
-            for other in self._sessions_by_id.values()
-            if other.on_probation and other is not session
-        )
-
     def _slowdown_of(self, session: WorkerSession, run: Run) -> float | None:
         total_s = run.recent_total_s()
         if total_s is None or not run.expected_s:
             return None
         ratio = total_s / run.expected_s
         # Most runs are as fast as expected; only others are compared with the rest of their job.
-        return total_s / self._expected_here_s(session, run) if is_slow_run(ratio) else ratio
+        if is_on_time(ratio):
+            return ratio
+        ratio = total_s / (self._expected_here_s(session, run) * self._tolerance(session))
+        # The other tasks of the job may be on slow workers as well, so a run that is as long as
+        # they are does not show that its worker is well.
+        return ratio if is_slow_run(ratio) else None
+
+    def _tolerance(self, session: WorkerSession) -> float:
+        """Return by which factor a worker's lasting slowdown may be higher than it is believed.
+
+        A new owner does not know the kinds of workers. In its first second, most workers of a slow
+        kind would be quarantined.
+        """
+        return math.exp(self._run_times.speeds.uncertainty(session.info.id))
 
     def _expected_here_s(self, session: WorkerSession, run: Run) -> float:
         lasting_slowdown = self._run_times.lasting_slowdown(session.info)
@@ -283,6 +292,7 @@
             self._run_times.speeds.uncertainty(session.info.id),
             len(session.runs),
         )
+        self._ended_by_session.pop(session, None)
         session.quarantine(until=now + SLOW_QUARANTINE_S)
         self._loop.call_later(SLOW_QUARANTINE_S, self._on_capacity_available)
         return True
--- a/zincwell/dispatch/decisions/_stragglers.py
+++ b/zincwell/dispatch/decisions/_stragglers.py
@@ -32,12 +32,11 @@
 # 40%; taken as the standard deviation of their logarithm, they are off by a factor of 1.5 for one
 # job in three, and too short by 2.5 for one in a hundred.
 SLOW_RUNS_RATIO = 2.5
-# The same with a single run to judge by.
+# A run that takes less than this many times as long as expected shows that its worker is well. A
+# run that was expected to take longer than it does may come near to the limit on a slow worker.
+ON_TIME_RATIO = 2.0
+# The same as `SLOW_RUNS_RATIO` with a single run to judge by.
 SINGLE_SLOW_RUN_RATIO = 3.5
-# One long run excludes a worker if this share of the workers, and this number of them, are known to
-# be slow. Then a slow worker is more likely the reason than a long task.
-MIN_SLOW_SHARE = 0.1
-MIN_SLOW_WORKERS = 2
 # Stopping a run takes up to 0.05 s; detecting its end and starting it elsewhere takes some 0.02 s
 # more.
 MOVE_COST_S = 0.07
@@ -80,6 +79,14 @@
     return stalled_s >= min(max(STALL_SHARE * expected_s, MIN_STALL_S), MAX_STALL_S)
 
 
+def is_on_time(ratio: float) -> bool:
+    """Return whether a run shows that its worker is well.
+
+    :param ratio: run time divided by the expected one.
+    """
+    return ratio < ON_TIME_RATIO
+
+
 def is_slow_run(ratio: float) -> bool:
     """Return whether a run is so much slower than expected that its worker may be slow.
 
@@ -102,14 +109,17 @@
 def classify_run(*, ratio: float | None, slowed_by: float | None, excused: bool) -> RunEvidence:
     """Return what an active run says about its worker.
 
-    :param ratio: run time at its latest speed, divided by the expected one on this worker.
+    :param ratio: run time at its latest speed, divided by the expected one on this worker. None if
+        it is not known, or if the other tasks of the job are as long.
     :param slowed_by: by which factor it has become slower while it ran, or None if not known.
     :param excused: whether it was as slow while other runs on its worker were on time.
     """
     if ratio is None:
         return RunEvidence.NONE
-    if not is_slow_run(ratio):
+    if is_on_time(ratio):
         return RunEvidence.ON_TIME
+    if not is_slow_run(ratio):
+        return RunEvidence.NONE
     if slowed_by is not None and slowed_by >= SLOW_RUNS_RATIO:
         return RunEvidence.SLOWED
     return RunEvidence.NONE if excused else RunEvidence.LONG
@@ -119,8 +129,6 @@
     active: Sequence[tuple[RunEvidence, float]],
     *,
     late_ratios: Sequence[float],
-    other_slow_workers: int,
-    workers: int,
     on_probation: bool,
 ) -> WorkerCondition:
     """Return the condition of a worker.
@@ -128,19 +136,21 @@
     :param active: what each of its runs says, with its ratio; see `classify_run`.
     :param late_ratios: the same ratios of runs that ended late since the last one that ended on
         time.
-    :param other_slow_workers: number of other workers that are known to be slow.
-    :param workers: number of workers.
     :param on_probation: whether the worker was slow and has not shown yet that it has recovered.
     """
     if any(evidence is RunEvidence.ON_TIME for evidence, _ in active):
         return WorkerCondition.WELL
     ratios = [ratio for evidence, ratio in active if evidence is not RunEvidence.NONE]
     ratios += late_ratios
-    if not is_slow_worker(ratios):
-        return WorkerCondition.SUSPECT if ratios else WorkerCondition.WELL
-    many_slow = other_slow_workers >= max(MIN_SLOW_WORKERS, MIN_SLOW_SHARE * workers)
-    has_slowed = any(evidence is RunEvidence.SLOWED for evidence, _ in active)
-    if len(ratios) > 1 or has_slowed or many_slow or on_probation:
+    if not ratios:
+        return WorkerCondition.WELL
+    is_conclusive = (
+        len(ratios) > 1
+        or on_probation
+        or any(evidence is RunEvidence.SLOWED for evidence, _ in active)
+    )
+    # Two runs with estimates that are too short reach the lower limit by chance, but rarely both.
+    if is_conclusive and is_slow_worker(ratios) and is_slow_worker([max(ratios)]):
         return WorkerCondition.SLOW
     return WorkerCondition.SUSPECT
 
--- a/zincwell/dispatch/decisions/_worker_speeds.py
+++ b/zincwell/dispatch/decisions/_worker_speeds.py
@@ -39,9 +39,9 @@
 # deviations more than the extremes of so many values differ by chance.
 UNEVEN_RATIO = 1.3
 UNEVEN_DEVIATIONS = 3.0
-# Whether workers are uneven is evaluated again after this many runs. With 400 workers it takes
-# 0.5 ms, and it is asked for with each start.
-UNEVEN_VALID_RUNS = 100
+# Whether workers are uneven is evaluated again after a tenth more runs, at most this many. It is
+# asked for with each start, and takes about 0.5 ms with 400 workers.
+MAX_UNEVEN_VALID_RUNS = 100
 MAX_CACHED_WORKER_SETS = 16
 
 
@@ -182,8 +182,10 @@
         """
         key = workers if isinstance(workers, tuple) else tuple(workers)
         cached = self._uneven_by_workers.get(key)
-        if cached is not None and self._runs - cached[0] < UNEVEN_VALID_RUNS:
-            return cached[1]
+        if cached is not None:
+            at_runs, uneven = cached
+            if self._runs - at_runs <= min(at_runs // 10, MAX_UNEVEN_VALID_RUNS):
+                return uneven
         if len(self._uneven_by_workers) >= MAX_CACHED_WORKER_SETS:
             self._uneven_by_workers.clear()
         known = [self._workers_by_id[worker] for worker in key if worker in self._workers_by_id]
