--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -178,7 +178,7 @@
 
     def percent(self, run: FakeRun, now: float) -> float:
         if self.hangs:
-            return 0.0
+            return 100 * run.share_before
         since = run.started_at if run.changed_at is None else run.changed_at
         return 100 * (run.share_before + (now - since) / self.run_s(run.task))
 
@@ -188,16 +188,26 @@
 
     def change_slowness(self, slowness: float) -> None:
         """Change the speed, also of the active runs."""
+        self.suspend_runs()
+        self.slowness = slowness
+        self.resume_runs()
+
+    def suspend_runs(self) -> None:
+        """Stall the active runs and those that start."""
         now = self.world.loop.time()
         for run in self.runs.values():
             run.share_before = self.percent(run, now) / 100
-            run.changed_at = now
-        self.slowness = slowness
-        for run in self.runs.values():
             if run.end_timer:
                 run.end_timer.cancel()
-                remaining_s = (1 - run.share_before) * self.run_s(run.task)
-                run.end_timer = self.world.loop.call_later(remaining_s, self.end, run, EndKind.DONE)
+        self.hangs = True
+
+    def resume_runs(self) -> None:
+        """Let all runs continue from where they were."""
+        self.hangs = False
+        for run in self.runs.values():
+            run.changed_at = self.world.loop.time()
+            remaining_s = (1 - run.share_before) * self.run_s(run.task)
+            run.end_timer = self.world.loop.call_later(remaining_s, self.end, run, EndKind.DONE)
 
     def crash(self) -> None:
         """Stop and lose all runs; a restarted worker at this address gets another id."""
--- a/tests/test_uneven_workers.py
+++ b/tests/test_uneven_workers.py
@@ -190,8 +190,10 @@
     share_in_time: float
 
 
-async def replay(monkeypatch, *, rival: bool, slowdown_by_kind: dict[str, float]) -> Replay:
-    """Play calm seconds and two slow phases of a fifth of the workers."""
+async def replay(
+    monkeypatch, *, rival: bool, slowdown_by_kind: dict[str, float], stalls: bool = False
+) -> Replay:
+    """Play calm seconds and two phases in which a fifth of the workers is slow or stalls."""
     world = World()
     with monkeypatch.context() as patches:
         quarantines = record_quarantines(patches)
@@ -208,7 +210,10 @@
         for _ in range(2):
             slow_at = world.loop.time()
             for worker in slow_workers:
-                worker.change_slowness(load.usual_slowness(worker) * PHASE_SLOWDOWN)
+                if stalls:
+                    worker.suspend_runs()
+                else:
+                    worker.change_slowness(load.usual_slowness(worker) * PHASE_SLOWDOWN)
             await load.run(SLOW_PHASE_S)
             for worker in slow_workers:
                 rows = [at for at, name in quarantines.since(slow_at) if name == worker.info.id]
@@ -240,6 +245,16 @@
     assert_that(new.share_in_time, GreaterThan(rival.share_in_time))
 
 
+@pytest.mark.looptime
+async def test_stalled_workers_are_found_as_fast(monkeypatch):
+    # A run on a worker of a slow kind has more time to show progress. That must not delay the
+    # detection of workers that stall.
+    new = await replay(monkeypatch, rival=False, slowdown_by_kind=UNEVEN, stalls=True)
+    rival = await replay(monkeypatch, rival=True, slowdown_by_kind=UNEVEN, stalls=True)
+    assert_that(max(new.detection_s), LessThan(1.0))
+    assert_that(statistics.mean(new.detection_s), LessThan(statistics.mean(rival.detection_s)))
+
+
 @pytest.mark.looptime
 async def test_a_task_that_is_long_by_itself_stays_where_it_is(world: World, monkeypatch):
     # Moved, it would start again elsewhere, and take as long there.
