Place tasks on uneven workers by the objective of their job

Workers now form speed classes; a job's tasks go to classes on which they end in time, the fastest while there is room and the slowest while room is short. Tasks without room there wait or start late by expected ends. Alike workers get the recorded sequence of starts.

--- /dev/null
+++ b/tests/test_placement_by_objective.py
@@ -0,0 +1,68 @@
+"""Placement by objective against best fit, on replays of a pool under load."""
+
+from __future__ import annotations
+
+import hashlib
+from functools import cache
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals, GreaterThan
+
+from tests.placement_replay import FIRST_DEPLOYMENT, SECOND_DEPLOYMENT, Replay, ReplayScore
+from zincwell.dispatch import _speed_placement
+
+SEEDS = (1, 2, 3)
+ALIKE = {"a": (0.95, 1.05), "b": (0.95, 1.05)}
+DEPLOYMENTS = {"first": FIRST_DEPLOYMENT, "second": SECOND_DEPLOYMENT}
+# Digest of the starts on alike workers, recorded with the scheduler before placement by objective.
+STARTS = 1891
+STARTS_DIGEST = "bc172d7af419b25630ea59b0503d521b59277583cedc269a1b5ab5b7da0fdc3a"
+
+
+@cache
+def play(deployment: str, load: float, seed: int, by_objective: bool) -> ReplayScore:
+    """Return the score of a replay."""
+    return Replay(
+        load=load, seed=seed, by_objective=by_objective, deployment=DEPLOYMENTS[deployment]
+    ).run()
+
+
+def mean_value(deployment: str, load: float, *, by_objective: bool) -> float:
+    """Return the mean value of a job over all seeds."""
+    return sum(play(deployment, load, seed, by_objective).value() for seed in SEEDS) / len(SEEDS)
+
+
+def test_alike_workers_get_the_recorded_sequence_of_starts():
+    # Deployments with alike workers are served as before.
+    replay = Replay(load=0.9, seed=1, by_objective=True, deployment=ALIKE, admission=False)
+    replay.run(until=4.0)
+    lines = "".join(f"{worker} {task}\n" for worker, task in replay.starts)
+    assert_that(len(replay.starts), Equals(STARTS))
+    assert_that(hashlib.sha256(lines.encode()).hexdigest(), Equals(STARTS_DIGEST))
+
+
+@pytest.mark.parametrize(("load", "gain"), [(0.7, 0.09), (1.0, 0.03)])
+def test_more_is_in_time_on_very_uneven_workers(load: float, gain: float):
+    # By best fit a long task is late on a slow worker while fast ones run short tasks.
+    best_fit = mean_value("first", load, by_objective=False)
+    assert_that(mean_value("first", load, by_objective=True), GreaterThan(best_fit + gain))
+
+
+@pytest.mark.parametrize("load", [0.4, 0.7, 1.0, 1.5, 2.0])
+@pytest.mark.parametrize("deployment", sorted(DEPLOYMENTS))
+def test_no_load_is_served_worse_than_by_best_fit(deployment: str, load: float):
+    # Waiting for faster workers in vain costs capacity under overload.
+    best_fit = mean_value(deployment, load, by_objective=False)
+    assert_that(mean_value(deployment, load, by_objective=True), GreaterThan(best_fit - 0.015))
+
+
+def test_wide_tasks_are_not_passed_by_narrow_ones_for_ever(monkeypatch: pytest.MonkeyPatch):
+    # Narrow tasks take each part of a worker that becomes free, so that none is ever wide enough.
+    def share_in_time() -> float:
+        scores = [Replay(load=1.5, seed=seed, by_objective=True).run() for seed in SEEDS]
+        return sum(score.wide_in_time for score in scores) / sum(score.wide for score in scores)
+
+    with_reservations = share_in_time()
+    monkeypatch.setattr(_speed_placement, "MAX_RESERVED_SHARE", 0)
+    assert_that(with_reservations, GreaterThan(1.3 * share_in_time()))
--- a/zincwell/dispatch/_jobs.py
+++ b/zincwell/dispatch/_jobs.py
@@ -55,6 +55,8 @@
     :param smallest_cpu: smallest CPU demand of its steps, in millicores.
     :param queued_in: list of the queue that holds it, or None.
     :param fit_checked_version: version of the worker set that it was last checked against.
+    :param expected_end_at: latest expected end of the runs that placement by objective has started.
+    :param left_waiting: whether placement by objective has left tasks of it waiting.
     :param min_run_s_by_step: shortest run time of a done task, for each step that has one.
     """
 
@@ -73,6 +75,8 @@
     smallest_cpu: int = 0
     queued_in: list[Job] | None = None
     fit_checked_version: int = -1
+    expected_end_at: float = 0.0
+    left_waiting: bool = False
     min_run_s_by_step: dict[int, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
--- a/zincwell/dispatch/_queue.py
+++ b/zincwell/dispatch/_queue.py
@@ -47,6 +47,10 @@
         """Move a job that will be late behind all others."""
         self._insert(job, self._deferred)
 
+    def is_deferred(self, job: Job) -> bool:
+        """Return whether a job is deferred behind all others."""
+        return job.queued_in is self._deferred
+
     def _insert(self, job: Job, jobs: list[Job]) -> None:
         if job.queued_in is jobs:
             return
--- a/zincwell/dispatch/_scheduler.py
+++ b/zincwell/dispatch/_scheduler.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 
 from zincwell.dispatch._jobs import Job, Task, TaskState
 from zincwell.dispatch._metrics import Metrics
@@ -12,6 +12,11 @@
 from zincwell.dispatch._queue import JobQueue
 from zincwell.dispatch._run_times import JobRunTimeEstimator
 from zincwell.dispatch._runs import Run
+from zincwell.dispatch._speed_placement import (
+    SAMPLE_INTERVAL_S,
+    ServicePlacement,
+    UnevenWorkers,
+)
 from zincwell.dispatch._types import Step
 from zincwell.dispatch._worker_session import WorkerSession
 
@@ -29,6 +34,7 @@
     :param run_times: estimates of run times.
     :param worker_list_age_s: returns the age of the list of workers that placement uses, in
         seconds.
+    :param loop: event loop; the running one by default.
     """
 
     def __init__(
@@ -41,6 +47,7 @@
         run_times: JobRunTimeEstimator,
         worker_list_age_s: Callable[[], float],
         metrics: Metrics,
+        loop: asyncio.AbstractEventLoop | None = None,
     ) -> None:
         self.queue = JobQueue()
         self.suspended = False
@@ -54,7 +61,9 @@
         self._worker_list_age_s = worker_list_age_s
         self._metrics = metrics
         self._placement_requested = False
-        self._loop = asyncio.get_running_loop()
+        self._retry_scheduled = False
+        self._placement_by_service: dict[str, ServicePlacement] = {}
+        self._loop = loop or asyncio.get_running_loop()
 
     def request_placement(self) -> None:
         """Schedule a placement, once for all events of this event loop iteration."""
@@ -65,33 +74,67 @@
     def place(self) -> None:
         """Start all waiting tasks that can start now."""
         self._placement_requested = self.starts_blocked = False
+        now = self._loop.time()
+        for placement in self._placement_by_service.values():
+            placement.sample_room(now)
         if self.suspended or not len(self.queue):
             return
-        now = self._loop.time()
         self.starts_blocked = not self._may_start_tasks(now)
         if self.starts_blocked:
             return
         workers_by_service = self._find_available_workers(self.queue.smallest_cpu(), now)
         if not workers_by_service:
+            for placement in self._placement_by_service.values():
+                placement.end(tasks_waiting=True)
             return
+        short_services = set()
         for job in self.queue:
-            workers = workers_by_service.get(job.request.service)
+            service = job.request.service
+            workers = workers_by_service.get(service)
             if workers is None or job.smallest_cpu > workers.most_free_cpu():
+                short_services.add(service)
+                if isinstance(workers, UnevenWorkers) and not self.queue.is_deferred(job):
+                    workers.placement.reserve_for_wide(job, workers, now)
                 continue
             if self._may_have_orphaned_runs(job, now):
                 continue
-            self._place_job(job, workers, now)
+            if isinstance(workers, UnevenWorkers):
+                self._place_job_by_objective(job, workers, now)
+            else:
+                self._place_job(job, workers, now)
             if not job.waiting:
                 self.queue.discard(job)
-            elif job.started:
-                self.queue.add(job, now=now)
+            else:
+                short_services.add(service)
+                if job.started:
+                    self.queue.add(job, now=now)
+        for service, placement in self._placement_by_service.items():
+            placement.end(tasks_waiting=service in short_services)
 
-    def _find_available_workers(self, least_cpu: int, now: float) -> dict[str, AvailableWorkers]:
+    def _find_available_workers(
+        self, least_cpu: int, now: float
+    ) -> dict[str, AvailableWorkers | UnevenWorkers]:
         sessions_by_service: dict[str, list[WorkerSession]] = {}
         for session in self._sessions_by_id.values():
             if session.free_cpu >= least_cpu and session.can_start(now):
                 sessions_by_service.setdefault(session.info.service, []).append(session)
-        return {name: AvailableWorkers(sessions) for name, sessions in sessions_by_service.items()}
+        return {
+            name: self._order_workers(name, sessions, now)
+            for name, sessions in sessions_by_service.items()
+        }
+
+    def _order_workers(
+        self, service: str, sessions: Sequence[WorkerSession], now: float
+    ) -> AvailableWorkers | UnevenWorkers:
+        placement = self._placement_by_service.get(service)
+        if placement is None:
+            placement = self._placement_by_service[service] = ServicePlacement(
+                service=service, sessions_by_id=self._sessions_by_id, run_times=self._run_times
+            )
+        placement.begin(sessions, now)
+        if not placement.is_uneven:
+            return AvailableWorkers(sessions)
+        return UnevenWorkers(sessions, placement)
 
     def _place_job(self, job: Job, workers: AvailableWorkers, now: float) -> None:
         for number, step in job.ready_steps():
@@ -104,6 +147,38 @@
                 self._start(job, step, task, session, now)
                 workers.note_start(session)
 
+    def _place_job_by_objective(self, job: Job, workers: UnevenWorkers, now: float) -> None:
+        """Start tasks on the speed classes that `choose_classes` allows.
+
+        Tasks that wait although workers are free are reconsidered soon, also if no run ends.
+        """
+        placement = workers.placement
+        for number, step in job.ready_steps():
+            waiting = [task for task in job.tasks[number] if task.state is TaskState.WAITING]
+            if not waiting:
+                continue
+            classes = placement.choose_classes(
+                job, number, tasks=len(waiting), workers=workers, now=now
+            )
+            for index, task in enumerate(waiting):
+                session = workers.find(step=step, task=task, classes=classes)
+                if session is None:
+                    placement.note_waiting(job, number, tasks=len(waiting) - index, now=now)
+                    self._schedule_retry()
+                    break
+                placement.note_start(job, number, session, now=now)
+                self._start(job, step, task, session, now)
+                workers.note_start(session)
+
+    def _schedule_retry(self) -> None:
+        if not self._retry_scheduled:
+            self._retry_scheduled = True
+            self._loop.call_later(SAMPLE_INTERVAL_S, self._retry)
+
+    def _retry(self) -> None:
+        self._retry_scheduled = False
+        self.request_placement()
+
     def _start(self, job: Job, step: Step, task: Task, session: WorkerSession, now: float) -> None:
         run = Run(
             task=task.id,
