Bound the cost of placement by objective under overload

Each waiting job was evaluated at each end of a run, and the chance of each class was computed three times. At most four jobs are evaluated for waiting in one placement, the pass ends when no worker has room, and speed classes are wider.

--- a/zincwell/dispatch/_scheduler.py
+++ b/zincwell/dispatch/_scheduler.py
@@ -82,12 +82,13 @@
         self.starts_blocked = not self._may_start_tasks(now)
         if self.starts_blocked:
             return
-        workers_by_service = self._find_available_workers(self.queue.smallest_cpu(), now)
+        least_cpu = self.queue.smallest_cpu()
+        workers_by_service = self._find_available_workers(least_cpu, now)
         if not workers_by_service:
             for placement in self._placement_by_service.values():
                 placement.end(tasks_waiting=True)
             return
-        short_services = set()
+        short_services: set[str] = set()
         for job in self.queue:
             service = job.request.service
             workers = workers_by_service.get(service)
@@ -95,6 +96,10 @@
                 short_services.add(service)
                 if isinstance(workers, UnevenWorkers) and not self.queue.is_deferred(job):
                     workers.placement.reserve_for_wide(job, workers, now)
+                if workers is not None and workers.most_free_cpu() < least_cpu:
+                    del workers_by_service[service]
+                    if not workers_by_service:
+                        break
                 continue
             if self._may_have_orphaned_runs(job, now):
                 continue
@@ -157,13 +162,13 @@
             waiting = [task for task in job.tasks[number] if task.state is TaskState.WAITING]
             if not waiting:
                 continue
-            classes = placement.choose_classes(
+            choice = placement.choose_classes(
                 job, number, tasks=len(waiting), workers=workers, now=now
             )
             for index, task in enumerate(waiting):
-                session = workers.find(step=step, task=task, classes=classes)
+                session = workers.find(step=step, task=task, classes=choice.classes)
                 if session is None:
-                    placement.note_waiting(job, number, tasks=len(waiting) - index, now=now)
+                    placement.note_waiting(job, step, choice, tasks=len(waiting) - index)
                     self._schedule_retry()
                     break
                 placement.note_start(job, number, session, now=now)
--- a/zincwell/dispatch/_speed_placement.py
+++ b/zincwell/dispatch/_speed_placement.py
@@ -27,8 +27,8 @@
 # The share of CPU in use is sampled, and the ends of runs are forecast, at most this often.
 SAMPLE_INTERVAL_S = 0.02
 # At most this many jobs are evaluated for waiting in one placement; the others start without. Under
-# overload hundreds of jobs wait.
-MAX_WAIT_EVALUATIONS = 32
+# overload hundreds of jobs wait. With 32, the replay served no more jobs in time.
+MAX_WAIT_EVALUATIONS = 4
 # A run that was told to stop has ended after this many seconds.
 STOP_DURATION_S = 0.05
 # At most this share of the workers is reserved for wide tasks in one placement, each for a job that
@@ -50,10 +50,11 @@
         for session in sessions:
             groups[placement.class_by_worker[session.info.id]].append(session)
         self._workers_by_class = [AvailableWorkers(group) for group in groups]
+        self._update_most_free_cpu()
 
     def most_free_cpu(self) -> int:
         """Return the largest free capacity of any worker, in thousandths of a core."""
-        return max(workers.most_free_cpu() for workers in self._workers_by_class)
+        return self._most_free_cpu
 
     def count_slots(self, *, step: Step, limit: int) -> list[int]:
         """Return for how many tasks of a step each class has room now, at most ``limit``."""
@@ -81,11 +82,27 @@
     def reserve_widest(self) -> None:
         """Leave out the worker with the most free CPU for the rest of this placement."""
         max(self._workers_by_class, key=AvailableWorkers.most_free_cpu).discard_widest()
+        self._update_most_free_cpu()
 
     def note_start(self, session: WorkerSession) -> None:
         """Restore the order after a task was started on a worker."""
         number = self.placement.class_by_worker[session.info.id]
         self._workers_by_class[number].note_start(session)
+        self._update_most_free_cpu()
+
+    def _update_most_free_cpu(self) -> None:
+        self._most_free_cpu = max(workers.most_free_cpu() for workers in self._workers_by_class)
+
+
+class ClassChoice(NamedTuple):
+    """Speed classes for the waiting tasks of a job's step.
+
+    :param classes: those on which tasks may start now, the preferred one first.
+    :param chances: by class, the probability that a task that starts now ends in time.
+    """
+
+    classes: list[int]
+    chances: list[float]
 
 
 class _RunEnd(NamedTuple):
@@ -127,7 +144,7 @@
         self._grouped_at = self._sampled_at = self._forecast_at = float("-inf")
         self._ends: list[_RunEnd] = []
         self._claimed: set[int] = set()
-        self._evaluations = self._reservations = 0
+        self._evaluations = self._reservations_left = 0
         self._tasks_waiting = False
         self._waits = WaitRecord()
 
@@ -148,7 +165,8 @@
         :param available: sessions with the workers that may start tasks.
         """
         self._claimed.clear()
-        self._evaluations = self._reservations = 0
+        self._evaluations = 0
+        self._reservations_left = math.ceil(MAX_RESERVED_SHARE * len(self.class_by_worker))
         is_new = self.is_uneven and any(s.info.id not in self.class_by_worker for s in available)
         if not is_new and now - self._grouped_at < SPEEDS_INTERVAL_S:
             return
@@ -170,14 +188,14 @@
             )
 
     def reserve_for_wide(self, job: Job, workers: UnevenWorkers, now: float) -> None:
-        """Reserve a worker for a job in time that no worker has room for.
+        """Reserve the worker with the most room for a job in time that no worker has room for.
 
         Narrow tasks behind it would otherwise take each part of a worker that becomes free.
         """
-        is_due = now - job.arrived_at > MIN_RESERVATION_AGE * job.slo_s
-        most = math.ceil(MAX_RESERVED_SHARE * len(self.class_by_worker))
-        if is_due and self._reservations < most and workers.most_free_cpu() > 0:
-            self._reservations += 1
+        if not self._reservations_left or workers.most_free_cpu() <= 0:
+            return
+        if now - job.arrived_at > MIN_RESERVATION_AGE * job.slo_s:
+            self._reservations_left -= 1
             workers.reserve_widest()
 
     def end(self, *, tasks_waiting: bool) -> None:
@@ -195,26 +213,31 @@
         tasks: int,
         workers: UnevenWorkers,
         now: float,
-    ) -> list[int]:
-        """Return the classes on which waiting tasks of a step may start, the preferred one first.
+    ) -> ClassChoice:
+        """Choose the classes on which waiting tasks of a step may start.
 
         :param number: number of the step.
         :param tasks: how many of its tasks wait.
         """
         step = job.request.steps[number]
         slots = workers.count_slots(step=step, limit=tasks)
-        chances = self._chances(job, number, now, wait_s=0.0)
+        chances = self._chances(job, number, now, classes=self.classes)
         if job.left_waiting:
             self._note_wait(job, chances, slots, now)
 
         def chance_of_waiting(missing: int) -> float:
+            # New jobs overtake only jobs that have not started.
+            success_rate = 1.0 if job.started else self._waits.success_rate(now)
+            if max(chances) * success_rate < LATE_CHANCE:
+                return 0.0
             chance = self._chance_of_waiting(job, number, chances, tasks=missing, now=now)
-            return chance if job.started else chance * self._waits.success_rate(now)
+            return chance * success_rate
 
         outlooks = [ClassOutlook(*one) for one in zip(chances, slots, strict=True)]
-        return choose_classes(
+        classes = choose_classes(
             outlooks, tasks=tasks, short=self._room.is_short, chance_of_waiting=chance_of_waiting
         )
+        return ClassChoice(classes, chances)
 
     def note_start(self, job: Job, number: int, session: WorkerSession, *, now: float) -> None:
         """Record that a task of a step starts on a worker."""
@@ -222,20 +245,20 @@
         end_at = now + self._run_times.expect_task_s(job, number) * slowdown
         job.expected_end_at = max(job.expected_end_at, end_at)
 
-    def note_waiting(self, job: Job, number: int, *, tasks: int, now: float) -> None:
+    def note_waiting(self, job: Job, step: Step, choice: ClassChoice, *, tasks: int) -> None:
         """Assign the next ends of runs to tasks that wait, ahead of all jobs behind them."""
         job.left_waiting = True
         if self._evaluations <= MAX_WAIT_EVALUATIONS:
-            chances = self._chances(job, number, now, wait_s=0.0)
-            step = job.request.steps[number]
-            self._claimed.update(self._find_claims(chances, cpu=step.cpu, tasks=tasks))
+            self._claimed.update(self._find_claims(choice.chances, cpu=step.cpu, tasks=tasks))
 
     def _sessions(self) -> list[WorkerSession]:
         sessions = self._sessions_by_id.values()
         return [session for session in sessions if session.info.service == self._service]
 
-    def _chances(self, job: Job, number: int, now: float, *, wait_s: float) -> list[float]:
-        """Return by class the probability that a task that starts in a while ends in time.
+    def _chances(
+        self, job: Job, number: int, now: float, *, classes: Sequence[SpeedClass]
+    ) -> list[float]:
+        """Return by class the probability that a task of a step that starts then ends in time.
 
         0 for all if another task of the job is expected to end too late.
         """
@@ -243,18 +266,20 @@
         objective_s = request.stretch * self._run_times.expect_job_s(job)
         objective_s += request.objective_ms / 1000
         if now < job.expected_end_at and job.expected_end_at > job.arrived_at + objective_s:
-            return [0.0] * len(self.classes)
+            return [0.0] * len(classes)
         run_s = self._run_times.expect_task_s(job, number)
+        age_s = now - job.arrived_at + self._expect_rest_s(job, number)
+        known = number in job.min_run_s_by_step
         return [
             chance_in_time(
                 speed,
                 run_s=run_s,
                 objective_s=objective_s,
-                age_s=now - job.arrived_at + wait_s + self._expect_rest_s(job, number),
+                age_s=age_s,
                 stretch=request.stretch,
-                known=number in job.min_run_s_by_step,
+                known=known,
             )
-            for speed in self.classes
+            for speed in classes
         ]
 
     def _expect_rest_s(self, job: Job, number: int) -> float:
@@ -281,9 +306,8 @@
         if len(claims) < tasks:
             return 0.0
         ends = [self._ends[index] for index in claims]
-        wait_s = max(ends[-1].at - now, 0.0)
-        slowest = max(end.speed_class for end in ends)
-        return self._chances(job, number, now, wait_s=wait_s)[slowest]
+        slowest = self.classes[max(end.speed_class for end in ends)]
+        return self._chances(job, number, max(ends[-1].at, now), classes=[slowest])[0]
 
     def _note_wait(
         self, job: Job, chances: Sequence[float], slots: Sequence[int], now: float
--- a/zincwell/dispatch/decisions/_worker_choice.py
+++ b/zincwell/dispatch/decisions/_worker_choice.py
@@ -17,8 +17,8 @@
 from typing import NamedTuple
 
 # Workers whose slowdowns are within this factor are in one class. Workers of one kind differ by up
-# to 1.4.
-CLASS_RATIO = 1.35
+# to 1.5.
+CLASS_RATIO = 1.5
 # Standard deviation of the logarithm of a run time: of the tasks of one job, and of the caller's
 # estimate of it.
 TASK_DEVIATION = 0.15
@@ -33,8 +33,8 @@
 LATE_CHANCE = 0.3
 # Room is short from the first of these shares of CPU in use on, until it is below the second. Tasks
 # of unequal size leave about 0.15 unusable, and a sample of 0.1 s varies by about 0.1.
-SHORT_ABOVE = 0.75
-AMPLE_BELOW = 0.6
+SHORT_ABOVE = 0.9
+AMPLE_BELOW = 0.75
 # Time constant of the mean of that share: a few of the shortest runs.
 ROOM_TIME_CONSTANT_S = 0.25
 
