--- a/tests/placement_replay.py
+++ b/tests/placement_replay.py
@@ -243,15 +243,15 @@
                 kind=kind,
             )
             self.sessions[info.id] = ReplaySession(info, rng.uniform(*deployment[kind]), self)
-        self._run_times = JobRunTimeEstimator()
+        self.run_times = JobRunTimeEstimator()
         if not by_objective:
-            self._run_times.speeds = AlikeSpeeds()
+            self.run_times.speeds = AlikeSpeeds()
         self.scheduler = Scheduler(
             sessions_by_id=self.sessions,
             may_start_tasks=lambda now: True,
             may_have_orphaned_runs=lambda job, now: False,
             next_run_number=lambda task: 1,
-            run_times=self._run_times,
+            run_times=self.run_times,
             worker_list_age_s=lambda: 0.0,
             metrics=Metrics(),
             loop=self.loop,
@@ -264,7 +264,7 @@
         self._overload = OverloadControl(
             queue=self.scheduler.queue,
             sessions_by_id=self.sessions,
-            run_times=self._run_times,
+            run_times=self.run_times,
             start_delay_s=lambda job, now: 0.0,
             clock=lambda: 0.0,
         )
@@ -304,17 +304,28 @@
             stretch=STRETCH,
             objective_ms=route.objective_ms,
         )
-        job = Job(request=request, arrived_at=now, possibly_started=False, accepted_at=now)
-        for task in job.tasks[0]:
+        run_s_by_task = {}
+        for index in range(tasks):
             task_s = run_s * self._rng.lognormvariate(0.0, TASK_DEVIATION)
             if self._rng.random() < LONG_TASK_SHARE:
                 task_s *= LONG_TASK_RATIO
-            self._run_s_by_task[task.id] = task_s
-        self._objective_s_by_job[job_id] = STRETCH * run_s + route.objective_ms / 1000
+            run_s_by_task[TaskId(job_id, 0, index)] = task_s
         if now >= WARM_UP_S:
             self.score.jobs[route.name] += 1
             self.score.wide += is_wide(request)
-        self._jobs[job_id] = job
+        self.submit(request, run_s, run_s_by_task)
+
+    def submit(self, request: JobRequest, run_s: float, run_s_by_task: dict[TaskId, float]) -> None:
+        """Submit a job now.
+
+        :param run_s: run time on which its objective is based.
+        :param run_s_by_task: run times of its tasks on a typical worker.
+        """
+        now = self.loop.time()
+        job = Job(request=request, arrived_at=now, possibly_started=False, accepted_at=now)
+        self._run_s_by_task.update(run_s_by_task)
+        self._objective_s_by_job[request.id] = STRETCH * run_s + request.objective_ms / 1000
+        self._jobs[request.id] = job
         self._overload.note_arrival(job, now)
         self.scheduler.queue.add(job, now=now)
         self.scheduler.request_placement()
@@ -333,7 +344,7 @@
         assert task is not None
         assert task.state is TaskState.RUNNING
         job.mark_done(task)
-        self._run_times.note_done(job, run, worker=session.info, now=now)
+        self.run_times.note_done(job, run, worker=session.info, now=now)
         self.scheduler.request_placement()
         if job.is_complete() and job.arrived_at >= WARM_UP_S:
             objectives = (now - job.arrived_at) / self._objective_s_by_job[run.task.job]
--- a/tests/test_placement_by_objective.py
+++ b/tests/test_placement_by_objective.py
@@ -11,6 +11,7 @@
 
 from tests.placement_replay import FIRST_DEPLOYMENT, SECOND_DEPLOYMENT, Replay, ReplayScore
 from zincwell.dispatch import _speed_placement
+from zincwell.dispatch._types import JobRequest, Step, TaskId
 
 SEEDS = (1, 2, 3)
 ALIKE = {"a": (0.95, 1.05), "b": (0.95, 1.05)}
@@ -76,3 +77,59 @@
     with_reservations = share_in_time()
     monkeypatch.setattr(_speed_placement, "MAX_RESERVED_SHARE", 0)
     assert_that(with_reservations, GreaterThan(1.3 * share_in_time()))
+
+
+def make_replay_with_known_speeds() -> Replay:
+    """Return a replay without arrivals: a fast worker w0 and a slow one w1, of 16 cores each."""
+    replay = Replay(load=0.0001, seed=1, by_objective=True, workers=2, admission=False)
+    for _ in range(200):
+        for worker, kind, run_s in (("w0", "a", 0.8), ("w1", "b", 2.4)):
+            replay.run_times.speeds.note_done(worker=worker, kind=kind, run_s=run_s, expected_s=1)
+    return replay
+
+
+def submit(
+    replay: Replay, name: str, *, at: float, cpu: int, run_s: float, actual_s: float = 0.0
+) -> None:
+    """Submit a job of one task at a time.
+
+    :param actual_s: run time of the task, if it differs from the estimate.
+    """
+    step = Step(count=1, cpu=cpu, memory_mb=100, estimate_ms=round(run_s * 1000))
+    request = JobRequest(
+        id=name, spec="", steps=[step], route="long", service="s", stretch=1.6, objective_ms=63
+    )
+    task = TaskId(name, 0, 0)
+    replay.loop.call_at(at, replay.submit, request, run_s, {task: actual_s or run_s})
+
+
+def workers_of_starts(replay: Replay) -> dict[str, str]:
+    """Return the worker on which each job started."""
+    return {task.job: worker for worker, task in replay.starts}
+
+
+def test_a_job_waits_for_a_fast_worker_that_is_free_in_time():
+    # On the slow worker, which is free, it takes three times as long and is late.
+    replay = make_replay_with_known_speeds()
+    submit(replay, "first", at=0.1, cpu=16_000, run_s=0.2)
+    submit(replay, "second", at=0.2, cpu=16_000, run_s=0.8)
+    replay.loop.run_until(5.0)
+    assert_that(workers_of_starts(replay), Equals({"first": "w0", "second": "w0"}))
+
+
+def test_a_job_does_not_wait_if_the_fast_worker_is_free_too_late():
+    # It is late either way, and the slow worker must not stay idle for it.
+    replay = make_replay_with_known_speeds()
+    submit(replay, "first", at=0.1, cpu=16_000, run_s=4.0)
+    submit(replay, "second", at=0.2, cpu=16_000, run_s=0.8)
+    replay.loop.run_until(0.25)
+    assert_that(workers_of_starts(replay), Equals({"first": "w0", "second": "w1"}))
+
+
+def test_a_job_that_waits_starts_on_a_slow_worker_once_it_is_late():
+    # The run on the fast worker takes ten times as long as expected, and no run ends meanwhile.
+    replay = make_replay_with_known_speeds()
+    submit(replay, "first", at=0.1, cpu=16_000, run_s=0.2, actual_s=20.0)
+    submit(replay, "second", at=0.2, cpu=16_000, run_s=0.8)
+    replay.loop.run_until(3.0)
+    assert_that(workers_of_starts(replay), Equals({"first": "w0", "second": "w1"}))
