--- a/tests/overload_replay.py
+++ b/tests/overload_replay.py
@@ -112,6 +112,10 @@
         """Call at a simulated time."""
         heapq.heappush(self._timers, (at, next(self._numbers), callback, args))
 
+    def call_later(self, delay_s: float, callback: Callable, *args: Any) -> None:
+        """Call after a simulated delay."""
+        self.call_at(self._now + delay_s, callback, *args)
+
     def run(self) -> None:
         """Handle all events in the order of time."""
         while self._timers:
--- a/zincwell/dispatch/_jobs.py
+++ b/zincwell/dispatch/_jobs.py
@@ -58,6 +58,8 @@
     :param forecast_start_at: when its first task would start by the first forecast after its
         arrival, or None before that.
     :param fit_checked_version: version of the worker set that it was last checked against.
+    :param expected_end_at: latest expected end of the runs that placement by objective has started.
+    :param left_waiting: whether placement by objective has left tasks of it waiting.
     :param min_run_s_by_step: shortest run time of a done task, for each step that has one, as on a
         typical worker.
     :param run_logs_by_step: for each step, the logarithms of its done tasks' run times on a typical
@@ -81,6 +83,8 @@
     min_starts: int = 1
     forecast_start_at: float | None = None
     fit_checked_version: int = -1
+    expected_end_at: float = 0.0
+    left_waiting: bool = False
     min_run_s_by_step: dict[int, float] = field(default_factory=dict)
     run_logs_by_step: dict[int, list[float]] = field(default_factory=dict)
 
@@ -110,6 +114,10 @@
             and not any(self.unfinished_by_step[earlier] for earlier in step.after)
         ]
 
+    def widest_ready_step(self) -> Step:
+        """Return the step with the largest CPU demand per task, of those that may start."""
+        return max((step for _, step in self.ready_steps()), key=lambda step: step.cpu)
+
     def mark_running(self, task: Task) -> None:
         """Mark a task as running, after a run was ordered or found."""
         if task.state is TaskState.WAITING:
--- a/zincwell/dispatch/_queue.py
+++ b/zincwell/dispatch/_queue.py
@@ -52,7 +52,7 @@
         self._insert(job, self._deferred)
 
     def is_deferred(self, job: Job) -> bool:
-        """Return whether a job waits behind all others."""
+        """Return whether a job is deferred behind all others."""
         return job.queued_in is self._deferred
 
     def _insert(self, job: Job, jobs: list[Job]) -> None:
