Reject malformed records and rows one by one, and check the start time of workers

Other programs write to the topic of workers. One malformed item failed the whole page of newest records, a key with replaced bytes named a worker, a cut off key deleted another record, and a malformed row of a hold response ended the polling of its worker.

--- a/zincwell/platform/_store.py
+++ b/zincwell/platform/_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import json
 import logging
 import struct
 from urllib.parse import urlencode
@@ -22,7 +23,12 @@
 )
 from zincwell.exceptions import DocumentError
 from zincwell.platform._http import HttpCallError, HttpClient
-from zincwell.platform._wire import check_json, decode_configuration, decode_worker
+from zincwell.platform._wire import (
+    check_json,
+    decode_configuration,
+    decode_worker,
+    is_text_key,
+)
 
 log = logging.getLogger("zincwell.store")
 
@@ -42,6 +48,9 @@
 # Longer results are continued by the next read.
 MAX_READ_KB = 1024
 
+# Other programs may write malformed records under ever new keys.
+MAX_LOGGED_KEYS = 1_000
+
 # A read response starts with the end offset and the first offset of the log, 8 bytes each.
 OFFSETS_BYTES = 16
 
@@ -86,13 +95,12 @@
             if after:
                 query["after"] = after
             body = await self._call("GET", "/v1/log-newest", query)
-            page = _decode(body, NewestBody)
+            page = decode_newest(body)
             # Pages are no consistent snapshot. Reading changes from the end offset of the first
             # page covers everything that was appended while later pages were read.
             end = page.end if end is None else end
             for item in page.items:
-                value = _decode_base64(item.value)
-                records.append(self._decoder.decode(topic, item.key, item.offset, value))
+                records.append(self._decoder.decode_item(topic, item))
                 after = item.key
             if not page.more_pages or not page.items:
                 return StorePage(records=records, end=end)
@@ -155,11 +163,38 @@
         raise StoreUnavailableError(f"malformed response: {error}") from error
 
 
-def _decode_base64(text: str) -> bytes:
+def decode_newest(body: bytes) -> NewestBody:
+    """Decode one page of the newest records, without the items that are malformed.
+
+    :raises StoreUnavailableError: if the page itself is malformed.
+    """
     try:
-        return base64.b64decode(text, validate=True)
-    except ValueError as error:
-        raise StoreUnavailableError(f"malformed response: {error}") from error
+        return msgspec.json.decode(body, type=NewestBody, strict=False)
+    except msgspec.MsgspecError:
+        # One malformed item fails the decoding of its page, which is therefore repeated by item.
+        # The decoder of the standard library accepts keys that are not valid text.
+        pass
+    try:
+        page = json.loads(body.decode(errors="replace"))
+        items = page["items"]
+        head = msgspec.convert({**page, "items": []}, type=NewestBody, strict=False)
+        for item in items:
+            _append_item(head.items, item)
+    except (msgspec.MsgspecError, KeyError, RecursionError, TypeError, ValueError) as error:
+        raise StoreUnavailableError(f"malformed response: {error!r}") from error
+    if head.more_pages and not head.items:
+        raise StoreUnavailableError("malformed response: no valid item to continue after")
+    return head
+
+
+def _append_item(items: list[NewestItem], item: object) -> None:
+    try:
+        decoded = msgspec.convert(item, type=NewestItem, strict=False)
+        decoded.key.encode()
+    except (msgspec.MsgspecError, UnicodeEncodeError) as error:
+        log.error('item_unreadable item=%.80a error="%s"', item, error)
+        return
+    items.append(decoded)
 
 
 class RecordDecoder:
@@ -188,7 +223,9 @@
             content = body[position + 4 : position + 4 + length]
             position += 4 + length
             key_length = content[0] if content else 0
-            key = content[1 : 1 + key_length].decode(errors="replace")
+            # A key that is longer than its record is cut off, so it names another record.
+            key_bytes = content[1 : 1 + key_length] if key_length < len(content) else b""
+            key = key_bytes.decode(errors="replace")
             offset = start + len(records)
             records.append(self.decode(topic, key, offset, content[1 + key_length :]))
         last = start + len(records)
@@ -205,17 +242,33 @@
             decoded = _decode_value(topic, key, value)
         except DocumentError as error:
             decoded = _decode_evacuation_key(topic, key)
-            if (topic, key) not in self._logged_keys:
-                self._logged_keys.add((topic, key))
-                log.error('record_unreadable topic=%s key=%s error="%s"', topic.name, key, error)
+            self._log_unreadable(topic, key, error)
         return StoreRecord(key=key, offset=offset, value=decoded)
 
+    def decode_item(self, topic: Topic, item: NewestItem) -> StoreRecord:
+        """Decode one record of a page of the newest records."""
+        try:
+            value = base64.b64decode(item.value, validate=True)
+        except ValueError as error:
+            self._log_unreadable(topic, item.key, error)
+            decoded = _decode_evacuation_key(topic, item.key)
+            return StoreRecord(key=item.key, offset=item.offset, value=decoded)
+        return self.decode(topic, item.key, item.offset, value)
+
+    def _log_unreadable(self, topic: Topic, key: str, error: Exception) -> None:
+        if (topic, key) in self._logged_keys or len(self._logged_keys) >= MAX_LOGGED_KEYS:
+            return
+        self._logged_keys.add((topic, key))
+        log.error('record_unreadable topic=%s key=%s error="%s"', topic.name, key, error)
+
 
 def _decode_value(
     topic: Topic, key: str, value: bytes
 ) -> Configuration | Evacuation | WorkerInfo | bytes | None:
     if not value:
         return None
+    if not is_text_key(key):
+        raise DocumentError("key: not valid text")
     if topic is Topic.WORKERS:
         return decode_worker(key, value)
     if topic is Topic.CONFIGURATION:
--- a/zincwell/platform/_wire.py
+++ b/zincwell/platform/_wire.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import re
+from typing import Annotated
 
 import msgspec
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 from zincwell.dispatch._types import Configuration, JobRequest, Route, Step, TaskId, WorkerInfo
 from zincwell.dispatch.ports import ActiveRun, EndedRun, EndKind, HoldReply
@@ -21,12 +22,21 @@
 WORKER_ADDRESS = re.compile(r"[0-9A-Za-z.-]+:[0-9]{1,5}")
 # Larger capacities are implausible for a machine, so the record is malformed.
 MAX_CAPACITY = 1e12
+MAX_PORT = 65_535
+# Unix time in ms in the year 2286. A record with a later start of its worker would outrank the
+# worker's own records for good.
+MAX_BORN_MS = 10**13
+# Stands for bytes that are not valid text.
+REPLACEMENT_CHARACTER = "\ufffd"
 # A longer number of milliseconds is no plausible timeout.
 MAX_TIMEOUT_DIGITS = 9
 # Workers report this for a run that waited in vain for the other members of its gang.
 GANG_INCOMPLETE = "alone"
 
 
+BornMs = Annotated[int, Meta(ge=0, le=MAX_BORN_MS)]
+
+
 class StepBody(Struct, rename="camel"):
     """A step of a caller's job.
 
@@ -122,7 +132,7 @@
     state: str
     capacity: CapacityBody
     labels: list[str] = []
-    born: int = 0
+    born: BornMs = 0
 
 
 class WorkerReplyBody(Struct, rename="camel"):
@@ -132,7 +142,7 @@
     """
 
     clock_ms: int | None = None
-    born: int = 0
+    born: BornMs = 0
     reason: str = ""
     running: list[list] = []
     ended: list[list] = []
@@ -269,10 +279,14 @@
         worker = msgspec.json.decode(body, type=WorkerBody)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise DocumentError(str(error)) from error
+    if not is_text_key(worker_id):
+        raise DocumentError(f"key: not valid text: {worker_id!a}")
     if worker.state not in WORKER_STATES:
         raise DocumentError(f"state: expected 'ready' or 'draining', got {worker.state!r}")
     if not WORKER_ADDRESS.fullmatch(worker.addr):
         raise DocumentError(f"addr: expected HOST:PORT, got {worker.addr!r}")
+    if int(worker.addr.rpartition(":")[2]) > MAX_PORT:
+        raise DocumentError(f"addr: port out of range in {worker.addr!r}")
     sizes = (worker.capacity.cpu, worker.capacity.mem_mb, worker.capacity.gpu)
     if not all(0 <= size <= MAX_CAPACITY for size in sizes):
         raise DocumentError("capacity: cpu, memMb or gpu is negative or too large")
@@ -291,6 +305,11 @@
     )
 
 
+def is_text_key(key: str) -> bool:
+    """Return whether a record's key is printable text, in which no bytes had to be replaced."""
+    return bool(key) and key.isprintable() and REPLACEMENT_CHARACTER not in key
+
+
 def format_task(task: TaskId) -> str:
     """Return a task's name on the wire; the 0 is the occurrence of a job that runs once."""
     return f"{task.job}.0.{task.step}.{task.index}"
@@ -303,7 +322,17 @@
 
 
 def decode_hold(reply: WorkerReplyBody) -> HoldReply:
-    """Decode a worker's response to a hold call: its active runs and the ended ones."""
+    """Decode a worker's response to a hold call: its active runs and the ended ones.
+
+    :raises DocumentError: if a row is malformed.
+    """
+    try:
+        return _decode_hold(reply)
+    except (AttributeError, IndexError, OverflowError, TypeError, ValueError) as error:
+        raise DocumentError(f"malformed row: {error!r}") from error
+
+
+def _decode_hold(reply: WorkerReplyBody) -> HoldReply:
     return HoldReply(
         clock_ms=reply.clock_ms or 0,
         born_ms=reply.born,
--- a/zincwell/platform/_worker.py
+++ b/zincwell/platform/_worker.py
@@ -15,6 +15,7 @@
     WorkerFencedError,
     WorkerReplacedError,
 )
+from zincwell.exceptions import DocumentError
 from zincwell.platform._http import HttpCallError, HttpClient
 from zincwell.platform._wire import WorkerReplyBody, decode_hold, format_task
 
@@ -87,7 +88,10 @@
         status, reply = await self._call(worker, "/v1/hold", body, timeout_s)
         if status != 200 or reply.clock_ms is None:
             raise WorkerCallError(f"hold: status {status} {reply.reason}")
-        return decode_hold(reply)
+        try:
+            return decode_hold(reply)
+        except DocumentError as error:
+            raise WorkerCallError(f"hold: {error}") from error
 
     async def _call(
         self, worker: WorkerInfo, path: str, body: dict, timeout_s: float
