--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -579,6 +579,8 @@
         return reply
 
     def _start_late(self, target: FakeWorker, worker: WorkerInfo, order: StartOrder) -> None:
+        if not target.alive:
+            return
         try:
             target.check(worker.id, order.fence)
         except (WorkerFencedError, WorkerReplacedError):
--- a/tests/test_pool_faults.py
+++ b/tests/test_pool_faults.py
@@ -407,3 +407,56 @@
 async def test_random_faults_with_leaving_workers_violate_no_guarantee(world: World, seed: int):
     await world.open()
     await LeavingFaultSeries(world, seed, DENSE_PAUSE_S).inject(faults=6)
+
+
+class RestartFaultSeries(FaultSeries):
+    """A series of faults during which workers restart, also while orders to them are late."""
+
+    restarts = 0
+
+    async def _fault(self) -> None:
+        if self.random.random() < 0.5:
+            worker_id = self.random.choice(sorted(self.world.workers))
+            if self.random.random() < 0.7:
+                # The worker that restarts gets the orders of the last moments late. Their answers
+                # are not yet overdue, so none of them was made void at the earlier incarnation.
+                self.world.drop_starts = {worker_id}
+                self.world.late_start_s = {worker_id: self.random.uniform(0.05, 3)}
+                await asyncio.sleep(self.random.uniform(0.0, 0.02))
+                self.world.drop_starts = set()
+            self._restart_worker(worker_id)
+            return
+        await super()._fault()
+
+    def _restart_worker(self, worker_id: str) -> None:
+        """Restart a worker, after it was down for a while, and list it at once or later."""
+        world = self.world
+        self.restarts += 1
+        down_s = self.random.choice([0.0, 0.3, 2.0])
+        listed_s = down_s + self.random.choice([0.0, 1.0])
+        world.workers[worker_id].crash()
+        world.loop.call_later(down_s, world.workers[worker_id].restart)
+        world.loop.call_later(listed_s + 0.001, self._list, worker_id)
+
+    def _list(self, worker_id: str) -> None:
+        self.world.list_worker(self.world.workers[worker_id].info)
+
+
+@pytest.mark.parametrize("seed", random_seeds())
+async def test_random_faults_with_restarts_violate_no_guarantee(world: World, seed: int):
+    world.sends_born = True
+    await world.open()
+    series = RestartFaultSeries(world, seed, USUAL_PAUSE_S)
+    await series.inject(faults=12)
+    assert_that(series.restarts, GreaterThan(0))
+
+
+@pytest.mark.parametrize("seed", random_seeds())
+async def test_random_faults_with_restarts_in_several_cells_violate_no_guarantee(
+    world: World, seed: int
+):
+    world.sends_born = True
+    await world.open_cells(workers=3)
+    series = RestartFaultSeries(world, seed, USUAL_PAUSE_S)
+    await series.inject(faults=12)
+    assert_that(series.restarts, GreaterThan(0))
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -295,6 +295,21 @@
     assert_that(starts_of(world), Equals([elsewhere.info.id]))
 
 
+async def test_an_order_is_made_void_at_each_further_incarnation(world: World):
+    # Guards against concurrent runs: each incarnation forgets what it was told to refuse.
+    await open_world(world)
+    worker = world.workers["w-a1"]
+    world.drop_starts.add(worker.info.id)
+    world.late_start_s[worker.info.id] = 2.0
+    job = await submit_to(world, worker, run_ms=3000)
+    for _ in range(3):
+        worker.restart()
+        await asyncio.sleep(0.4)
+    await finish([job])
+    assert_that(starts_of(world), HasLength(1))
+    assert_that(starts_of(world)[0] == worker.info.id, Is(False))
+
+
 @pytest.mark.parametrize("run_ms", [30, 2000])
 async def test_a_run_of_a_late_order_at_the_new_incarnation_is_kept(world: World, run_ms: int):
     # Guards against a second start of a task that the new incarnation runs already, or has ended
--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -376,6 +376,9 @@
         if self._calls.born_ms:
             orders[run.task, run.number] = run.ordered_at
 
+    def _has_orders_in_flight(self) -> bool:
+        return any(self._calls.may_start_late(at) for at in self._unanswered_orders.values())
+
     def _handle_unanswered_start(self, run: Run, error: WorkerCallError) -> None:
         """Leave the outcome of a start open until a later poll shows whether the task runs.
 
@@ -451,10 +454,12 @@
                 self._tasks.spawn(self._resolve_start(run))
         orders, self._earlier_orders = self._earlier_orders, {}
         for (task, number), ordered_at in orders.items():
-            run = self.runs.get(task)
-            if run is not None and run.number == number:
+            if not self._calls.may_start_late(ordered_at):
                 continue
-            if self._calls.may_start_late(ordered_at):
+            # The incarnation after this one would have to be told again.
+            self._unanswered_orders[task, number] = ordered_at
+            run = self.runs.get(task)
+            if run is None or run.number != number:
                 self._tasks.spawn(self._void_earlier_order(task, number, ordered_at))
 
     async def _void_earlier_order(self, task: TaskId, number: int, ordered_at: float) -> None:
@@ -529,6 +534,9 @@
         pause_s = min(RETRY_PAUSE_S * failures, MAX_RETRY_PAUSE_S)
         if not self._listed or self.replaced:
             pause_s = UNLISTED_PAUSE_S
+        elif self._has_orders_in_flight():
+            # If the worker restarts, it must be told to refuse these orders before they arrive.
+            pause_s = RETRY_PAUSE_S
         self._retry.clear()
         try:
             async with asyncio.timeout(pause_s):
