--- a/zincwell/dispatch/_run_times.py
+++ b/zincwell/dispatch/_run_times.py
@@ -95,7 +95,8 @@
 
     def note_done(self, job: Job, run: Run, *, worker: WorkerInfo, now: float) -> float:
         """Learn from a run that succeeded; return its run time divided by the expected one."""
-        if run.adopted:
+        if run.adopted or run.carried:
+            # The time at which the worker started it is unknown.
             return 1.0
         step = run.task.step
         run_s = now - run.ordered_at
--- a/zincwell/dispatch/decisions/__init__.py
+++ b/zincwell/dispatch/decisions/__init__.py
@@ -35,6 +35,12 @@
     plan_cells,
 )
 from zincwell.dispatch.decisions._forecast import Demand, FreeCores, QueueSimulation, StartForecast
+from zincwell.dispatch.decisions._incarnations import (
+    Sighting,
+    compare_incarnation,
+    is_record_missing,
+    may_start_late,
+)
 from zincwell.dispatch.decisions._offered_load import OfferedLoad
 from zincwell.dispatch.decisions._polling import (
     MAX_LOOP_LAG_S,
@@ -93,6 +99,7 @@
     "RoomGauge",
     "RunEvidence",
     "RunTimeEstimator",
+    "Sighting",
     "SpeedClass",
     "StartForecast",
     "WaitRecord",
@@ -104,12 +111,14 @@
     "choose_other_cell",
     "choose_retry_after_s",
     "classify_run",
+    "compare_incarnation",
     "count_min_starts",
     "count_waves",
     "estimate_step_log",
     "group_by_speed",
     "is_move_worthwhile",
     "is_on_time",
+    "is_record_missing",
     "is_slow_run",
     "is_slow_worker",
     "is_stalled",
@@ -117,6 +126,7 @@
     "judge_late_job_before_timeout",
     "judge_worker",
     "latest_useful_age_s",
+    "may_start_late",
     "meets_objective",
     "min_poll_interval_s",
     "plan_cells",
