Stop the tasks of cancelled jobs within 4 s, and answer callers in time

A cancellation reached only the owner that the entry followed at that moment. Tasks ran on for longer than 4 s if it was lost with its owner or on a cut link, if the caller's DELETE came through another entry, if a retry was attached at another entry, if a delayed submission arrived after it, and if the submitting entry was lost or restarted. A job whose entry restarted at once could run in two cells at the same time.

Owners stop late runs of cancelled jobs at once and every other orphaned run 0.3 s after it appeared, and end the jobs of entries that are lost or replaced and not found again by their callers.

Callers with a timeout are answered by then: not run if the job was never sent or its owner proves it, else unknown. Jobs queued behind a failed delivery go to another cell.

--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -143,7 +143,7 @@
         self.outcome = Outcome(verdict=Verdict.SUCCEEDED)
         self.jobs: list[JobRequest] = []
 
-    async def run(self, request: JobRequest) -> Outcome:
+    async def run(self, request: JobRequest, *, arrived_at: float) -> Outcome:
         self.jobs.append(request)
         return self.outcome
 
--- a/tests/test_restart.py
+++ b/tests/test_restart.py
@@ -131,6 +131,15 @@
     def cancel(self, cell, message):
         self.cancelled.append(message.job)
 
+    def cells(self):
+        return [""]
+
+    def withdraw_job(self, cell, job_id):
+        return False
+
+    def withdraw_blocked_jobs(self, cell):
+        return set()
+
 
 async def submit_to_two_owners(*, unsent: bool, again: bool) -> Submit:
     """Return the submission to a second owner of a job that was submitted to a first one.
--- a/zincwell/dispatch/_directory.py
+++ b/zincwell/dispatch/_directory.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Collection
 
 from zincwell.dispatch._domains import DOMAIN_TIMEOUT_S
-from zincwell.dispatch._messages import Ping, Receipt
+from zincwell.dispatch._messages import Cancel, Ping, Receipt
 from zincwell.dispatch._peers import LinkObserver, PeerLink
 from zincwell.dispatch._types import EntryInfo
 from zincwell.dispatch.ports import PeerClient
@@ -44,6 +44,8 @@
         self.links_by_name: dict[str, PeerLink] = {}
         self._me = me
         self._past_incarnations_by_name: dict[str, set[str]] = {}
+        # Event loop time at which a new process under a known name was first seen.
+        self.replaced_at_by_name: dict[str, float] = {}
         self._client = client
         self._observer = observer
         self._clock = clock
@@ -79,6 +81,7 @@
                 self.entries_by_name[entry.name] = entry
         elif self._replaces(entry, known, named):
             self._past_incarnations_by_name.setdefault(entry.name, set()).add(known.incarnation)
+            self.replaced_at_by_name[entry.name] = self._loop.time()
             self._add(entry)
 
     def _replaces(self, entry: EntryInfo, known: EntryInfo, named: bool) -> bool:
@@ -212,7 +215,17 @@
                 unsent |= link.withdraw_jobs()
         return unsent
 
-    def withdraw_unsent(self, owner: str) -> set[str]:
+    def undelivered_cancellations(self, entry: EntryInfo) -> list[Cancel]:
+        """Return the cancellations that could not be delivered to an entry."""
+        link = self.find_link(entry)
+        return link.undelivered_cancellations() if link is not None else []
+
+    def withdraw_unsent(self, owner: EntryInfo) -> set[str]:
         """Remove the jobs queued behind the delivery in flight to an owner and return their ids."""
-        link = self.links_by_name.get(owner)
+        link = self.find_link(owner)
         return link.withdraw_unsent() if link is not None else set()
+
+    def find_link(self, entry: EntryInfo) -> PeerLink | None:
+        """Return the link to this incarnation of an entry, or None if none is open."""
+        link = self.links_by_name.get(entry.name)
+        return link if link is not None and link.peer.incarnation == entry.incarnation else None
--- a/zincwell/dispatch/_job_registry.py
+++ b/zincwell/dispatch/_job_registry.py
@@ -3,9 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
 import logging
+import math
 from collections.abc import Callable
 
+from zincwell.dispatch._caller_timeouts import owner_answer_by_s
+from zincwell.dispatch._cancelled_jobs import CancelledJob, CancelledJobs
 from zincwell.dispatch._jobs import AnswerCache, Job
 from zincwell.dispatch._metrics import Metrics
 from zincwell.dispatch._types import JobRequest, Outcome, Verdict
@@ -35,28 +39,50 @@
         self._on_ended = on_ended
         self._answer = answer
         self._answers = AnswerCache()
+        self._cancelled = CancelledJobs()
+        # Heap of `Job.answer_by` and job id, for each submission of a job whose caller has stated
+        # its timeout.
+        self._timeouts: list[tuple[float, str]] = []
         self._metrics = metrics
         self._loop = asyncio.get_running_loop()
 
     def open(
-        self, request: JobRequest, *, entry: str, age_s: float, possibly_started: bool
+        self,
+        request: JobRequest,
+        *,
+        entry: str,
+        age_s: float,
+        possibly_started: bool,
+        delay_s: float = 0.0,
     ) -> Job | None:
         """Open a job and return it.
 
         Return None if the job is open already, so that the entry waits as well, or if it was
-        answered, so that the entry gets the cached answer.
+        answered or cancelled, so that the entry gets that answer.
+
+        :param delay_s: how long the submission was on its way, in seconds.
         """
+        now = self._loop.time()
+        requested_at = now - age_s - delay_s
         answer = self._answers.get(request.id)
         if answer is not None:
             log.info("answered_again job=%s entry=%s verdict=%s", request.id, entry, answer.verdict)
             self._answer(request.id, {entry}, answer)
             return None
+        cancelled = self._cancelled.get(request.id, now=now)
+        if cancelled is not None and cancelled.by_request and requested_at < cancelled.cancelled_at:
+            # The submission is older than the cancellation, for instance a retry through another
+            # entry that was delayed on its way.
+            log.info("cancelled_before job=%s entry=%s", request.id, entry)
+            self._answer(request.id, {entry}, Outcome(verdict=Verdict.CANCELLED))
+            return None
+        self._cancelled.forget(request.id)
         job = self.jobs_by_id.get(request.id)
         if job is not None:
             log.info("job_attached job=%s entry=%s", request.id, entry)
             job.waiting_entries.add(entry)
+            self._note_claim(job, request, requested_at=requested_at)
             return None
-        now = self._loop.time()
         job = Job(
             request=request,
             arrived_at=now - age_s,
@@ -65,8 +91,32 @@
         )
         job.waiting_entries.add(entry)
         self.jobs_by_id[request.id] = job
+        job.answer_by = -math.inf
+        self._note_claim(job, request, requested_at=requested_at)
         return job
 
+    def _note_claim(self, job: Job, request: JobRequest, *, requested_at: float) -> None:
+        """Record that an entry has submitted the job, and how long its caller waits."""
+        job.claimed_at = self._loop.time()
+        job.requested_at = max(job.requested_at, requested_at)
+        if not request.timeout_ms:
+            job.answer_by = math.inf
+            return
+        answer_by = requested_at + owner_answer_by_s(request)
+        if answer_by > job.answer_by:
+            job.answer_by = answer_by
+            heapq.heappush(self._timeouts, (answer_by, request.id))
+
+    def pop_unstarted_at_timeout(self, now: float) -> list[Job]:
+        """Return the jobs without a started task whose callers stop waiting now."""
+        due = []
+        while self._timeouts and self._timeouts[0][0] <= now:
+            _, job_id = heapq.heappop(self._timeouts)
+            job = self.jobs_by_id.get(job_id)
+            if job is not None and not job.started and job.answer_by <= now:
+                due.append(job)
+        return due
+
     def end(self, job: Job, outcome: Outcome, *, remember: bool = True) -> None:
         """End a job and report its outcome.
 
@@ -95,16 +145,35 @@
         outcome = Outcome(verdict=verdict, reason=reason, retry_after_s=retry_after_s)
         self.end(job, outcome, remember=False)
 
-    def cancel(self, job_id: str, *, entry: str) -> None:
-        """Remove an entry from those that wait for a job, and end the job if none is left."""
+    def cancel(
+        self, job_id: str, *, entry: str, age_s: float = 0.0, by_request: bool = False
+    ) -> None:
+        """Remove an entry from those that wait for a job, and end the job if none is left.
+
+        :param age_s: time since the cancellation, in seconds.
+        :param by_request: end the job for all entries, unless it was submitted after that.
+        """
+        now = self._loop.time()
+        cancelled = CancelledJob(id=job_id, cancelled_at=now - age_s, by_request=by_request)
         job = self.jobs_by_id.get(job_id)
         if job is None:
+            # If the callers of one entry are gone, a retry may still arrive from another entry.
+            if by_request:
+                self._cancelled.add(cancelled, now=now)
             return
         job.waiting_entries.discard(entry)
-        if not job.waiting_entries:
+        for_all = by_request and job.requested_at < cancelled.cancelled_at
+        if for_all or not job.waiting_entries:
             log.info("job_cancelled job=%s started=%s", job_id, job.started)
+            self._cancelled.add(cancelled, now=now)
             self.end(job, Outcome(verdict=Verdict.CANCELLED), remember=False)
 
+    def is_cancelled(self, job_id: str) -> bool:
+        """Return whether a job was cancelled recently and not submitted again."""
+        if job_id in self.jobs_by_id:
+            return False
+        return self._cancelled.get(job_id, now=self._loop.time()) is not None
+
     def end_jobs_of(self, entries: set[str], *, reason: str) -> None:
         """End the jobs that only these unreachable or lost entries wait for.
 
@@ -117,6 +186,16 @@
             if job.waiting_entries <= entries:
                 self.end(job, outcome, remember=False)
 
+    def end_unclaimed_jobs(self, entry: str, *, since: float, reason: str) -> None:
+        """End the jobs that only this entry waits for and that it has not submitted since a time.
+
+        :param since: event loop time at which the entry was replaced by a new process.
+        """
+        outcome = Outcome(verdict=Verdict.UNKNOWN, reason=reason, retry_after_s=RETRY_AFTER_S)
+        for job in list(self.jobs_by_id.values()):
+            if job.waiting_entries == {entry} and job.claimed_at < since:
+                self.end(job, outcome, remember=False)
+
     def pending_by_route(self) -> dict[str, int]:
         """Return the number of jobs without a started task, by route."""
         counts: dict[str, int] = {}
--- a/zincwell/dispatch/_jobs.py
+++ b/zincwell/dispatch/_jobs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
@@ -47,6 +48,11 @@
     :param possibly_started: whether a previous owner may have started tasks of it.
     :param accepted_at: when this owner received it, on this entry's clock.
     :param waiting_entries: names of the entries whose callers wait for the outcome.
+    :param claimed_at: when an entry last submitted it, on this entry's clock.
+    :param requested_at: when the newest request of a caller for it arrived at an entry, on this
+        entry's clock.
+    :param answer_by: when the owner's answer must be sent for the last caller to get it in time, on
+        this entry's clock.
     :param unfinished_by_step: number of tasks of each step that are not done.
     :param waiting: number of tasks that wait for a run.
     :param started: whether any task has been running or done.
@@ -63,6 +69,9 @@
     possibly_started: bool
     accepted_at: float
     waiting_entries: set[str] = field(default_factory=set)
+    claimed_at: float = 0.0
+    requested_at: float = -math.inf
+    answer_by: float = math.inf
     tasks: list[list[Task]] = field(default_factory=list)
     unfinished_by_step: list[int] = field(default_factory=list)
     waiting: int = 0
--- a/zincwell/dispatch/_messages.py
+++ b/zincwell/dispatch/_messages.py
@@ -22,10 +22,19 @@
     done: list[tuple[int, int]] = []
 
 
-class Cancel(Struct, frozen=True, kw_only=True, tag="cancel"):
-    """Entry to owner: cancel this job, because no caller of this entry waits for it."""
+class Cancel(Struct, frozen=True, kw_only=True, tag="cancel", omit_defaults=True):
+    """Entry to owner: cancel this job, because no caller of this entry waits for it.
+
+    Sent at the cancellation, and again to each later owner of the cell.
+
+    :param age_s: time since the cancellation when the first message of the envelope was queued, in
+        seconds; negative if it came later.
+    :param by_request: whether a caller asked for it, which ends the job for all entries.
+    """
 
     job: str
+    age_s: float = 0.0
+    by_request: bool = False
 
 
 class TasksDone(Struct, frozen=True, kw_only=True, tag="done"):
@@ -167,6 +176,8 @@
     :param version: newest configuration version known to the receiver.
     :param late: whether the envelope was so late that the jobs in it were dropped.
     :param evacuations: evacuations known to the receiver, None if it never heard of any.
+    :param cancelled: cancellations that the receiver can't deliver to the sender, because only the
+        other direction of the link works. Their ages are those at the time of the receipt.
     """
 
     receiver: EntryInfo
@@ -178,3 +189,4 @@
     version: int = 0
     late: bool = False
     evacuations: Evacuations | None = None
+    cancelled: list[Cancel] = []
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -519,6 +519,7 @@
             version=self.configuration_version(),
             late=late,
             evacuations=self.evacuations.state_to_share(),
+            cancelled=self._directory.undelivered_cancellations(envelope.sender),
         )
 
     def _handle(self, sender: EntryInfo, message: Message, *, delay_s: float = 0.0) -> None:
@@ -527,14 +528,14 @@
         :param delay_s: age of the message content on arrival, in seconds.
         """
         if isinstance(message, Submit):
-            self._handle_submission(sender.name, message)
+            self._handle_submission(sender.name, message, delay_s=delay_s)
         elif isinstance(message, JobEnded):
             self.pending_jobs.handle_answer(message)
         elif isinstance(message, TasksDone):
             self.pending_jobs.note_done(message.job, message.tasks)
         elif isinstance(message, Cancel):
             if self._owner is not None:
-                self._owner.jobs.cancel(message.job, entry=sender.name)
+                self._owner.cancel(message, entry=sender.name, delay_s=delay_s)
         elif isinstance(message, CellReport):
             self._cell_directory.note_report(message, delay_s=delay_s)
         elif isinstance(message, WorkerListSnapshot):
@@ -564,7 +565,7 @@
             counts[route] = counts.get(route, 0) + count
         return counts
 
-    def _handle_submission(self, entry: str, message: Submit) -> None:
+    def _handle_submission(self, entry: str, message: Submit, *, delay_s: float) -> None:
         if self._owner is None:
             # The sender already follows another owner, or soon will, and submits its jobs there.
             log.info("not_owner job=%s entry=%s", message.job.id, entry)
@@ -575,6 +576,7 @@
             age_s=message.age_s,
             possibly_started=message.exposed,
             done=message.done,
+            delay_s=delay_s,
         )
 
     def has_usable_worker_list(self) -> bool:
@@ -610,6 +612,8 @@
         self._check_owner_restart()
         if receipt.cell == self._cell_directory.home.name:
             self.election.note_receipt(receipt)
+        for cancel in receipt.cancelled:
+            self._handle(receipt.receiver, cancel)
         if receipt.late:
             self.pending_jobs.resubmit(after_s=0)
         self.configurations.note_version(receipt.receiver, receipt.version)
@@ -758,7 +762,7 @@
         objectives.
         """
         if self._cell_directory.other_cells():
-            self.pending_jobs.note_unsent(self._directory.withdraw_unsent(owner.name))
+            self.pending_jobs.note_unsent(self._directory.withdraw_unsent(owner))
 
     def _check_owner_lag(self, due_at: float) -> None:
         now = self._loop.time()
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -14,7 +14,9 @@
 from zincwell.dispatch._health import WorkerHealthMonitor
 from zincwell.dispatch._job_registry import JobRegistry
 from zincwell.dispatch._jobs import Job, Task, TaskState
+from zincwell.dispatch._messages import Cancel
 from zincwell.dispatch._metrics import Metrics
+from zincwell.dispatch._orphaned_runs import OrphanedRunStopper
 from zincwell.dispatch._overload import OverloadControl
 from zincwell.dispatch._run_times import JobRunTimeEstimator
 from zincwell.dispatch._runs import Run, RunIndex, RunOutcome
@@ -34,10 +36,6 @@
 # Run numbers available to one owner for one task. The owner's fencing token supplies the high-order
 # part, so run numbers increase from one owner to the next.
 RUNS_PER_FENCE = 64
-# Orphaned runs that no job claims within this time are stopped. Entries resubmit their jobs within
-# about 10 ms of a new owner's first heartbeat. The value must stay well below 1.3 s, the earliest
-# time after its last lease renewal at which a partitioned owner counts its runs as expired.
-ORPHAN_GRACE_S = 0.3
 # Added to the time by which every lease that a previous owner requested must have expired. Until
 # then a new owner starts no task that may still be running on a worker it can't reach.
 LEASE_EXPIRY_MARGIN_S = 0.05
@@ -145,6 +143,9 @@
         self._loop = asyncio.get_running_loop()
         self._loss_detector = AnswerLossDetector()
         self._workers = WorkerSet(is_assigned=self._is_assigned, make_session=self._make_session)
+        self._orphans = OrphanedRunStopper(
+            sessions_by_id=self._workers.sessions_by_id, is_cancelled=self.jobs.is_cancelled
+        )
         self._run_visibility = RunVisibility()
         self._runs = RunIndex()
         self._run_times = JobRunTimeEstimator()
@@ -282,6 +283,7 @@
         age_s: float,
         possibly_started: bool,
         done: list[tuple[int, int]],
+        delay_s: float = 0.0,
     ) -> None:
         """Accept a job, or add an entry to those that wait for it.
 
@@ -289,8 +291,15 @@
         :param age_s: time since the caller's request arrived, in seconds.
         :param possibly_started: whether a previous owner may have started tasks of the job.
         :param done: step and index of each task that is already done.
+        :param delay_s: how long the submission was on its way, in seconds.
         """
-        job = self.jobs.open(request, entry=entry, age_s=age_s, possibly_started=possibly_started)
+        job = self.jobs.open(
+            request,
+            entry=entry,
+            age_s=age_s,
+            possibly_started=possibly_started,
+            delay_s=delay_s,
+        )
         if job is None:
             return
         for step, index in done:
@@ -312,6 +321,20 @@
             return
         self._enqueue(job)
 
+    def cancel(self, message: Cancel, *, entry: str, delay_s: float) -> None:
+        """Cancel a job for the callers of one entry, or for all if a caller asked for it.
+
+        :param delay_s: how long the message was on its way, in seconds.
+        """
+        self.jobs.cancel(
+            message.job,
+            entry=entry,
+            age_s=message.age_s + delay_s,
+            by_request=message.by_request,
+        )
+        if self.jobs.is_cancelled(message.job):
+            self._orphans.stop_job(message.job)
+
     def capacity_status(self) -> CapacityStatus:
         """Return the free capacity of the workers and the time they need for the waiting tasks."""
         sessions = self._workers.sessions_by_id.values()
@@ -497,6 +520,7 @@
         job = self.jobs.jobs_by_id.get(task.job)
         known = job.task(task) if job is not None else None
         if known is None or known.state is not TaskState.WAITING:
+            self._orphans.note(session, task, number)
             return None
         step = job.request.steps[task.step]
         job.mark_running(known)
@@ -544,7 +568,7 @@
             await asyncio.sleep(REVIEW_INTERVAL_S)
             now = self._loop.time()
             self._end_unservable_jobs(now)
-            self._stop_orphaned_runs(now)
+            self._orphans.stop_due(now)
             awaits_lease_expiry = any(
                 job.possibly_started and job.waiting for job in self.jobs.jobs_by_id.values()
             )
@@ -552,6 +576,8 @@
                 self.on_capacity_available()
 
     def _end_unservable_jobs(self, now: float) -> None:
+        for job in self.jobs.pop_unstarted_at_timeout(now):
+            self.jobs.refuse(job, "not started within the caller's timeout")
         for refusal in self._overload.find_jobs_to_refuse(now):
             job = refusal.job
             log.info(
@@ -599,14 +625,3 @@
             return True
         job.fit_checked_version = self._workers.version
         return self._workers.could_ever_fit(job.request)
-
-    def _stop_orphaned_runs(self, now: float) -> None:
-        for session in self._workers.sessions_by_id.values():
-            if session.orphaned_runs and now - session.orphaned_since > ORPHAN_GRACE_S:
-                log.info(
-                    "orphaned_runs_stopped worker=%s tasks=%d",
-                    session.info.id,
-                    len(session.orphaned_runs),
-                )
-                session.orphaned_since = now
-                session.stop_orphaned_runs()
--- a/zincwell/dispatch/_peers.py
+++ b/zincwell/dispatch/_peers.py
@@ -8,6 +8,8 @@
 import math
 from collections.abc import Callable, Iterator
 
+import msgspec
+
 from zincwell.dispatch._background import BackgroundTasks
 from zincwell.dispatch._messages import Cancel, Envelope, Message, Receipt, Submit
 from zincwell.dispatch._types import EntryInfo, Evacuations
@@ -86,6 +88,8 @@
         self._queue: list[Message] = []
         self._queued_at = 0.0
         self._in_flight: list[Message] = []
+        self._in_flight_queued_at = 0.0
+        self._failures = 0
         self._wake = asyncio.Event()
         self._loop = asyncio.get_running_loop()
         self._heard_at = self._loop.time()
@@ -99,8 +103,13 @@
             self._queue.clear()
         if isinstance(message, Cancel):
             self._replace_by_cancellation(message)
+        now = self._clock()
         if not self._queue:
-            self._queued_at = self._clock()
+            self._queued_at = now
+        elif isinstance(message, Cancel):
+            # The envelope states how long its first message has waited, see `Envelope.waited_s`.
+            age_s = message.age_s - (now - self._queued_at)
+            message = msgspec.structs.replace(message, age_s=age_s)
         self._queue.append(message)
         self._wake.set()
 
@@ -115,14 +124,21 @@
             self.send(Cancel(job=job_id))
         return queued - sent
 
-    def withdraw_unsent(self) -> set[str]:
-        """Remove the jobs that were never sent from the queue and return their ids."""
+    def withdraw_unsent(self, job_id: str = "") -> set[str]:
+        """Remove the jobs that were never sent from the queue and return their ids.
+
+        :param job_id: the only job to remove; empty for all.
+        """
         sent = {message.job.id for message in self._in_flight if isinstance(message, Submit)}
         unsent = {
             message.job.id
             for message in self._queue
-            if isinstance(message, Submit) and message.job.id not in sent
+            if isinstance(message, Submit)
+            and message.job.id not in sent
+            and job_id in ("", message.job.id)
         }
+        if not unsent:
+            return unsent
         self._queue = [
             message
             for message in self._queue
@@ -142,6 +158,25 @@
                 if isinstance(message, Submit) and message.job.id == cancel.job:
                     messages[index] = cancel
 
+    def is_failing(self) -> bool:
+        """Return whether the delivery in flight has failed and is being repeated."""
+        return self._failures > 0
+
+    def undelivered_cancellations(self) -> list[Cancel]:
+        """Return the cancellations that wait behind a failed delivery, with their current ages."""
+        if not self._failures:
+            return []
+        now = self._clock()
+        return [
+            msgspec.structs.replace(message, age_s=message.age_s + now - queued_at)
+            for messages, queued_at in (
+                (self._in_flight, self._in_flight_queued_at),
+                (self._queue, self._queued_at),
+            )
+            for message in messages
+            if isinstance(message, Cancel)
+        ]
+
     def is_idle(self) -> bool:
         """Return whether all messages were acknowledged."""
         return not self._queue and not self._in_flight
@@ -164,6 +199,7 @@
             self._wake.clear()
             while self._queue:
                 self._in_flight, self._queue = self._queue, []
+                self._in_flight_queued_at = self._queued_at
                 receipt = await self._deliver(self._queued_at)
                 self._in_flight = []
                 # After the delivery has ended, since replies to the receipt are only sent on an
@@ -176,7 +212,7 @@
         :param queued_at: clock time at which the first of the messages was queued.
         """
         sequence = next(self._sequences)
-        failures = 0
+        self._failures = 0
         while True:
             now = self._clock()
             envelope = Envelope(
@@ -195,10 +231,11 @@
                 )
                 break
             except PeerCallError as error:
-                failures += 1
-                if failures == 1:
+                self._failures += 1
+                if self._failures == 1:
                     log.info('peer_silent peer=%s error="%s"', self.peer.name, error)
-                await asyncio.sleep(min(RETRY_PAUSE_S * failures, MAX_RETRY_PAUSE_S))
+                await asyncio.sleep(min(RETRY_PAUSE_S * self._failures, MAX_RETRY_PAUSE_S))
+        self._failures = 0
         self.note_heard()
         self.last_receipt_at = self._loop.time()
         self.last_receipt = receipt
--- a/zincwell/dispatch/_pending_jobs.py
+++ b/zincwell/dispatch/_pending_jobs.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 
 from zincwell.dispatch._background import BackgroundTasks
+from zincwell.dispatch._caller_timeouts import entry_answer_by_s, owner_answer_by_s
+from zincwell.dispatch._cancelled_jobs import ANY_CELL, CancelledJob, CancelledJobs
 from zincwell.dispatch._messages import Cancel, JobEnded, Submit
 from zincwell.dispatch._metrics import Metrics
 from zincwell.dispatch._types import JobRequest, Outcome, Verdict
@@ -23,6 +25,12 @@
 # A cell whose owner is silent for this long is expected to stay without an owner, and its waiting
 # jobs are given up. A failover takes 0.55 s to 0.8 s.
 OWNER_LOST_S = 1.2
+# Jobs that were taken back from a silent owner are submitted to it again once it was heard within
+# this time, three heartbeats.
+HEARD_WITHIN_S = 0.3
+# A job that was not sent to an owner that is silent for this long may go to another cell. Owners
+# send reports every 0.2 s, so the reports of other cells are up to 0.3 s old in normal operation.
+SUSPECT_AFTER_S = 0.45
 # Advertised to callers of jobs that are given up.
 RETRY_AFTER_S = 1.0
 # Maximum number of other cells that a refused job is submitted to, one after the other.
@@ -56,6 +64,21 @@
     def cancel(self, cell: str, message: Cancel) -> None:
         """Cancel a job at the owner of a cell."""
 
+    @abc.abstractmethod
+    def cells(self) -> list[str]:
+        """Return the names of all cells."""
+
+    @abc.abstractmethod
+    def withdraw_job(self, cell: str, job_id: str) -> bool:
+        """Remove a job from the queue to the owner of a cell; return False if it was sent."""
+
+    @abc.abstractmethod
+    def withdraw_blocked_jobs(self, cell: str) -> set[str]:
+        """Remove the jobs queued behind a failed delivery to the owner of a cell.
+
+        Return their ids. They were never sent.
+        """
+
 
 @dataclass(slots=True, kw_only=True, eq=False)
 class PendingJob:
@@ -98,6 +121,7 @@
         self._channel = channel
         self._metrics = metrics
         self._pending_by_id: dict[str, PendingJob] = {}
+        self._cancelled = CancelledJobs()
         self._loop = asyncio.get_running_loop()
         self._tasks = BackgroundTasks()
         self._tasks.spawn(self._review_forever())
@@ -110,36 +134,71 @@
         """Return the number of jobs that wait for an answer."""
         return len(self._pending_by_id)
 
-    async def run(self, request: JobRequest) -> Outcome:
-        """Submit a job and wait for its outcome.
+    async def run(self, request: JobRequest, *, arrived_at: float | None = None) -> Outcome:
+        """Submit a job and wait for its outcome, at most as long as its caller waits.
 
         The task is cancelled when the caller disconnects. Without other callers, the job is then
         cancelled at its owner.
+
+        :param arrived_at: event loop time of the caller's request, by default now.
         """
+        if arrived_at is None:
+            arrived_at = self._loop.time()
         pending = self._pending_by_id.get(request.id)
         if pending is None:
+            self._cancelled.forget(request.id)
             cell = self._channel.choose_cell(request, refused_by=()) or self._channel.home_cell()
-            pending = PendingJob(request=request, arrived_at=self._loop.time(), cell=cell)
+            pending = PendingJob(request=request, arrived_at=arrived_at, cell=cell)
             self._pending_by_id[request.id] = pending
             self._submit(pending)
         waiter: asyncio.Future[Outcome] = self._loop.create_future()
         pending.waiters.add(waiter)
+        timer: asyncio.TimerHandle | None = None
+        if request.timeout_ms:
+            answer_by = arrived_at + entry_answer_by_s(request)
+            timer = self._loop.call_at(answer_by, self._end_wait, pending, waiter)
         try:
             return await waiter
         finally:
+            if timer is not None:
+                timer.cancel()
             pending.waiters.discard(waiter)
             if not waiter.done() or waiter.cancelled():
                 self._handle_disconnect(pending)
 
     def cancel(self, job_id: str) -> bool:
-        """Cancel a job on request of its caller; return False if it is not tracked here."""
+        """Cancel a job on request of its caller; return False if it is not tracked here.
+
+        A job that is not tracked here may have been submitted through another entry, so the owners
+        of all cells are told.
+        """
         pending = self._pending_by_id.get(job_id)
         if pending is None:
+            self._cancel_at_owner(job_id, ANY_CELL, by_request=True)
             return False
-        self._channel.cancel(pending.cell, Cancel(job=job_id))
+        self._cancel_at_owner(job_id, pending.cell, by_request=True)
         self.resolve(job_id, Outcome(verdict=Verdict.CANCELLED))
         return True
 
+    def _cancel_at_owner(self, job_id: str, cell: str, *, by_request: bool = False) -> None:
+        """Cancel a job at the owner of its cell, and remember it for later owners.
+
+        The owner may fail or be replaced before it has stopped the runs, and a later owner may get
+        the job from another entry or may have it from an earlier term.
+        """
+        now = self._loop.time()
+        job = CancelledJob(id=job_id, cell=cell, cancelled_at=now, by_request=by_request)
+        self._cancelled.add(job, now=now)
+        for name in self._channel.cells() if cell == ANY_CELL else [cell]:
+            self._channel.cancel(name, Cancel(job=job_id, by_request=by_request))
+
+    def _report_cancelled(self, cell: str) -> None:
+        """Report the recently cancelled jobs to the new owner of a cell."""
+        now = self._loop.time()
+        for job in self._cancelled.jobs_of_cell(cell, now=now):
+            age_s = now - job.cancelled_at
+            self._channel.cancel(cell, Cancel(job=job.id, age_s=age_s, by_request=job.by_request))
+
     def is_pending(self, job_id: str) -> bool:
         """Return whether a caller of the job waits at this entry."""
         return job_id in self._pending_by_id
@@ -160,10 +219,25 @@
             return
         if verdict is Verdict.REFUSED:
             self._mark_refusal_uncertain(pending)
-            if not message.shared and self._forward(pending):
+            if not message.shared and self._has_time_left(pending) and self._forward(pending):
                 return
+        if verdict is Verdict.CANCELLED:
+            # On request of a caller of another entry. If that entry fails, this one still tells
+            # the next owner.
+            now = self._loop.time()
+            self._cancelled.add(
+                CancelledJob(id=message.job, cell=pending.cell, cancelled_at=now, by_request=True),
+                now=now,
+            )
         self.resolve(message.job, message.outcome)
 
+    def _has_time_left(self, pending: PendingJob) -> bool:
+        """Return whether an owner that gets the job now may still start it."""
+        if not pending.request.timeout_ms:
+            return True
+        age_s = self._loop.time() - pending.arrived_at
+        return age_s < owner_answer_by_s(pending.request)
+
     def _mark_refusal_uncertain(self, pending: PendingJob) -> None:
         """Don't treat a refusal as proof that nothing runs if the job was submitted again.
 
@@ -228,6 +302,7 @@
         for pending in self._pending_by_id.values():
             if pending.cell == cell and pending.submitted_fence != fence:
                 self._submit(pending)
+        self._report_cancelled(cell)
 
     def reassign_to_home_cell(self) -> None:
         """Assign all jobs to the home cell after a layout change.
@@ -236,6 +311,7 @@
         """
         for pending in self._pending_by_id.values():
             pending.cell = self._channel.home_cell()
+        self._cancelled.note_layout_change()
 
     def note_unsent(self, job_ids: set[str]) -> None:
         """Mark jobs that were queued for an owner but never sent as not submitted.
@@ -289,23 +365,47 @@
         self._metrics.count("callers_left")
         log.info("caller_left job=%s", pending.request.id)
         del self._pending_by_id[pending.request.id]
-        if pending.submitted_fence:
-            self._channel.cancel(pending.cell, Cancel(job=pending.request.id))
+        if pending.submitted_fence or pending.possibly_started:
+            self._cancel_at_owner(pending.request.id, pending.cell)
 
     def _give_up(self, pending: PendingJob, reason: str) -> None:
-        # An unreachable owner that the job was submitted to may have started it.
+        """Answer the callers of a job without its owner, and cancel the job if it was sent."""
+        # An unreachable owner that the job was sent to may have started it.
+        self._withdraw_if_unsent(pending)
         verdict = Verdict.UNKNOWN if pending.submitted_fence else Verdict.REFUSED
         outcome = Outcome(verdict=verdict, reason=reason, retry_after_s=RETRY_AFTER_S)
         self.resolve(pending.request.id, outcome)
-        if pending.submitted_fence:
+        if pending.submitted_fence or pending.possibly_started:
             # The submission may still be queued on the link to an unreachable owner. Delivered
             # later, the job would run in parallel with the caller's retry at another entry.
-            self._channel.cancel(pending.cell, Cancel(job=pending.request.id))
+            self._cancel_at_owner(pending.request.id, pending.cell)
+
+    def _withdraw_if_unsent(self, pending: PendingJob) -> None:
+        """Mark a job as not submitted if it is still queued for its owner and was never sent."""
+        if not pending.submitted_fence or pending.resubmitted:
+            return
+        if self._channel.withdraw_job(pending.cell, pending.request.id):
+            pending.submitted_fence = 0
+
+    def _end_wait(self, pending: PendingJob, waiter: asyncio.Future[Outcome]) -> None:
+        """Answer a caller whose timeout ends with what is provable by now."""
+        if waiter.done() or waiter not in pending.waiters:
+            return
+        self._metrics.count("callers_timed_out")
+        reason = "no answer within the caller's timeout"
+        if len(pending.waiters) == 1:
+            self._give_up(pending, reason)
+            return
+        # The job goes on for the other callers, so it may run.
+        pending.waiters.discard(waiter)
+        outcome = Outcome(verdict=Verdict.UNKNOWN, reason=reason, retry_after_s=RETRY_AFTER_S)
+        waiter.set_result(outcome)
 
     async def _review_forever(self) -> None:
         while True:
             await asyncio.sleep(REVIEW_INTERVAL_S)
             self.resubmit(after_s=RESUBMIT_AFTER_S)
+            self._reroute_from_silent_owners()
             for pending in list(self._pending_by_id.values()):
                 if self._has_live_owner(pending.cell):
                     continue
@@ -314,6 +414,22 @@
                 else:
                     self._choose_other_cell(pending)
 
+    def _reroute_from_silent_owners(self) -> None:
+        """Choose another cell for the jobs that were not yet sent to a silent owner.
+
+        If there is no better cell, the jobs are submitted again once an owner is heard.
+        """
+        cells = {pending.cell for pending in self._pending_by_id.values()}
+        silent = {cell for cell in cells if self._channel.silence_s(cell) > SUSPECT_AFTER_S}
+        if silent and len(self._channel.cells()) > 1:
+            for cell in silent:
+                self.note_unsent(self._channel.withdraw_blocked_jobs(cell))
+        for pending in self._pending_by_id.values():
+            if pending.submitted_fence or pending.cell in silent:
+                continue
+            if self._channel.silence_s(pending.cell) < HEARD_WITHIN_S:
+                self._submit(pending)
+
     def _has_live_owner(self, cell: str) -> bool:
         heard = self._channel.silence_s(cell) < OWNER_LOST_S
         return heard and bool(self._channel.fence(cell))
--- a/zincwell/dispatch/_reachability.py
+++ b/zincwell/dispatch/_reachability.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from zincwell.dispatch._cell_directory import CellDirectory
 from zincwell.dispatch._directory import EntryDirectory
 from zincwell.dispatch._domains import DomainMonitor
@@ -13,6 +15,10 @@
 # not answered for this long. Its callers notice at once that it has failed and resubmit their jobs
 # 1.3 s later; a stop takes up to 0.2 s.
 ENTRY_TIMEOUT_S = 0.9
+# Otherwise the jobs of an entry go on, because its callers find them again through another entry.
+# They are stopped after this time: the entry may have cancelled jobs in vain, whose runs must end
+# within 4 s, and a stop takes up to 0.2 s.
+ENTRY_LOST_S = 3.0
 
 
 class ReachabilityMonitor:
@@ -52,7 +58,8 @@
         """
         if not self._worker_list.is_fresh():
             self._domains.note_worker_list_unavailable()
-        silent = self._find_silent_entries()
+        self._end_jobs_of_lost_entries(owner)
+        silent = self._find_silent_entries(ENTRY_TIMEOUT_S)
         if self._cell_directory.other_cells():
             # The callers of a failed entry may resubmit their jobs to any cell, which would run
             # them a second time alongside this one.
@@ -65,11 +72,25 @@
         owner.jobs.end_jobs_of(cut_off_entries, reason="failure domain cut off")
         owner.jobs.end_jobs_of(cut_off_entries | silent, reason="entry lost during a partition")
 
-    def _find_silent_entries(self) -> set[str]:
+    def _end_jobs_of_lost_entries(self, owner: Owner) -> None:
+        """End the jobs that no caller waits for any more, as their entry is gone for good.
+
+        A new process under the name of the entry does not know the jobs of the one before it.
+        """
+        lost = self._find_silent_entries(ENTRY_LOST_S)
+        if lost:
+            owner.jobs.end_jobs_of(lost, reason="entry lost")
+        now = asyncio.get_running_loop().time()
+        timeout_s = ENTRY_TIMEOUT_S if self._cell_directory.other_cells() else ENTRY_LOST_S
+        replaced_at_by_name = self._directory.replaced_at_by_name
+        for name, replaced_at in list(replaced_at_by_name.items()):
+            if now - replaced_at > timeout_s:
+                del replaced_at_by_name[name]
+                owner.jobs.end_unclaimed_jobs(name, since=replaced_at, reason="entry replaced")
+
+    def _find_silent_entries(self, timeout_s: float) -> set[str]:
         links_by_name = self._directory.links_by_name
-        silent = {
-            name for name, link in links_by_name.items() if link.silence_s() > ENTRY_TIMEOUT_S
-        }
+        silent = {name for name, link in links_by_name.items() if link.silence_s() > timeout_s}
         # After a restart there may be a link to the previous incarnation of this entry, which never
         # answers.
         return silent - {self._me.name}
--- a/zincwell/dispatch/_router.py
+++ b/zincwell/dispatch/_router.py
@@ -9,6 +9,7 @@
 from zincwell.dispatch._directory import EntryDirectory
 from zincwell.dispatch._election import Election
 from zincwell.dispatch._messages import Cancel, Message, Submit
+from zincwell.dispatch._peers import PeerLink
 from zincwell.dispatch._pending_jobs import OwnerChannel
 from zincwell.dispatch._types import EntryInfo, JobRequest
 
@@ -70,6 +71,24 @@
         """Cancel a job at the owner of a cell."""
         self._send(cell, message)
 
+    def cells(self) -> list[str]:
+        """Return the names of all cells."""
+        return [cell.name for cell in self._cell_directory.layout.cells]
+
+    def withdraw_job(self, cell: str, job_id: str) -> bool:
+        """Remove a job from the queue to the owner of a cell; return False if it was sent."""
+        link = self._find_link(cell)
+        return link is not None and bool(link.withdraw_unsent(job_id))
+
+    def withdraw_blocked_jobs(self, cell: str) -> set[str]:
+        """Remove the jobs queued behind a failed delivery to the owner of a cell."""
+        link = self._find_link(cell)
+        return link.withdraw_unsent() if link is not None and link.is_failing() else set()
+
+    def _find_link(self, cell: str) -> PeerLink | None:
+        owner = self._owner_of(cell)
+        return self._directory.find_link(owner) if owner is not None else None
+
     def owner_names(self) -> set[str]:
         """Return the names of the known cell owners."""
         owners = [
@@ -80,10 +99,13 @@
     def _hears_owner(self) -> bool:
         return self.election.owner is not None and self.election.has_owner_contact()
 
+    def _owner_of(self, cell: str) -> EntryInfo | None:
+        if cell == self.home_cell():
+            return self.election.owner
+        return self._cell_directory.owner_of(cell)
+
     def _send(self, cell: str, message: Message) -> None:
-        owner = (
-            self.election.owner if cell == self.home_cell() else self._cell_directory.owner_of(cell)
-        )
+        owner = self._owner_of(cell)
         if owner is None:
             return
         if owner.incarnation == self._me.incarnation:
--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -126,7 +126,6 @@
         self.info = info
         self.runs: dict[TaskId, Run] = {}
         self.orphaned_runs: dict[TaskId, int] = {}
-        self.orphaned_since = 0.0
         self.held = False
         self.silent = False
         self.fenced = False
@@ -272,10 +271,9 @@
         run.stop_sent_at = self._loop.time()
         self._tasks.spawn(self._stop(run.task, run.number))
 
-    def stop_orphaned_runs(self) -> None:
-        """Stop the runs that belong to no job of this owner."""
-        for task, number in self.orphaned_runs.items():
-            self._tasks.spawn(self._stop(task, number))
+    def stop_orphaned_run(self, task: TaskId, number: int) -> None:
+        """Stop a run that belongs to no job of this owner."""
+        self._tasks.spawn(self._stop(task, number))
 
     def adopt(self, run: Run) -> None:
         """Take over a run that a previous owner started."""
@@ -534,8 +532,6 @@
         if run is None:
             run = self._observer.on_orphaned_run(self, row.task, row.run)
             if run is None:
-                if not self.orphaned_runs:
-                    self.orphaned_since = now
                 self.orphaned_runs[row.task] = row.run
                 return
             self.adopt(run)
--- a/zincwell/platform/_callers.py
+++ b/zincwell/platform/_callers.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import math
 
 import msgspec
 
 from zincwell.dispatch import Node
-from zincwell.dispatch._types import Outcome, Route, Verdict
+from zincwell.dispatch._types import Configuration, Outcome, Route, Verdict
 from zincwell.exceptions import BadRequestError
 from zincwell.platform._server import HttpRequest, HttpResponse
 from zincwell.platform._wire import UnsupportedJobError, decode_job, decode_timeout
@@ -45,7 +46,8 @@
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Respond to one request."""
-        configuration = await self._node.wait_for_configuration()
+        arrived_at = asyncio.get_running_loop().time()
+        configuration = await self._wait_for_configuration(request)
         if configuration is None:
             return _reject(request, 503, "no configuration yet", UNCONFIGURED_RETRY_AFTER_S)
         host = request.headers.get("host", "").partition(":")[0]
@@ -58,7 +60,7 @@
                 response = _reject(request, 503, "shutting down", SHUTDOWN_RETRY_AFTER_S)
                 response.close = True
                 return response
-            return await self._submit(request, route, job_id)
+            return await self._submit(request, route, job_id, arrived_at=arrived_at)
         if request.method == "GET":
             return self._get_status(route, job_id)
         if request.method == "DELETE":
@@ -70,7 +72,18 @@
             )
         return _make_error(405, "method not allowed")
 
-    async def _submit(self, request: HttpRequest, route: Route, job_id: str) -> HttpResponse:
+    async def _wait_for_configuration(self, request: HttpRequest) -> Configuration | None:
+        """Return the configuration in effect, or None if there is none while the caller waits."""
+        timeout_ms = decode_timeout(request.headers.get(TIMEOUT_HEADER, ""))
+        try:
+            async with asyncio.timeout(timeout_ms / 1000 if timeout_ms else None):
+                return await self._node.wait_for_configuration()
+        except TimeoutError:
+            return None
+
+    async def _submit(
+        self, request: HttpRequest, route: Route, job_id: str, *, arrived_at: float
+    ) -> HttpResponse:
         try:
             timeout_ms = decode_timeout(request.headers.get(TIMEOUT_HEADER, ""))
             job = decode_job(request.body, job_id=job_id, route=route, timeout_ms=timeout_ms)
@@ -78,7 +91,7 @@
             return _reject(request, 501, str(error))
         except BadRequestError as error:
             return _reject(request, 400, str(error))
-        outcome = await self._node.pending_jobs.run(job)
+        outcome = await self._node.pending_jobs.run(job, arrived_at=arrived_at)
         response = _make_outcome_response(outcome)
         response.close = self._node.leaving
         return response
