--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -8,8 +8,9 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, GreaterThan, HasLength, LessThan
 
-from tests.dispatch_world import FakeWorker, World
+from tests.dispatch_world import FakeWorker, World, make_job
 from tests.pool_jobs import finish, other_than, submit, verdicts
+from tests.test_pool_faults import USUAL_PAUSE_S, FaultSeries, random_seeds
 from zincwell.dispatch import _cancelled_jobs
 from zincwell.dispatch._cancelled_jobs import RETENTION_S, CancelledJob, CancelledJobs
 from zincwell.dispatch._messages import Cancel
@@ -205,6 +206,25 @@
     assert_that(await time_until_stopped(world, "job"), LessThan(LIMIT_S))
 
 
+@pytest.mark.looptime
+async def test_a_restarted_entry_does_not_keep_a_job_that_a_retry_has_left(world: World):
+    # Failure: the entry restarts while a retry waits at another entry. When that caller leaves, the
+    # owner still counts the old process as waiting.
+    await world.open()
+    owner = world.owners()[0]
+    entry = other_than(world, owner)
+    zone = world.nodes[entry].me.zone
+    await submit_long(world, entry)
+    retry_entry = other_than(world, owner, entry)
+    submit(world, retry_entry, "job", run_ms=LONG_MS)
+    await asyncio.sleep(0.1)
+    world.kill_node(entry)
+    world.add_node(entry, zone)
+    await asyncio.sleep(4)
+    leave(world, retry_entry)
+    assert_that(await time_until_stopped(world, "job"), LessThan(0.1))
+
+
 @pytest.mark.looptime
 async def test_a_job_goes_on_if_its_caller_finds_it_through_another_entry(world: World):
     # Failure: the owner ends the jobs of a lost entry although a caller waits for them elsewhere,
@@ -497,3 +517,80 @@
     cancel(world, entry)
     assert_that(await time_until_stopped(world, "job"), LessThan(LIMIT_S))
     await finish([job])
+
+
+# -- random faults -------------------------------------------------------------------------
+
+
+class CancellingFaultSeries(FaultSeries):
+    """A series of faults with callers that cancel, leave, and wait for a limited time only."""
+
+    def __init__(self, world: World, seed: int) -> None:
+        super().__init__(world, seed, USUAL_PAUSE_S)
+        self.cancelled_at_by_job: dict[str, float] = {}
+        self.late_answers: list[str] = []
+        self.long_runs: set[str] = set()
+
+    async def _call(self, job) -> None:
+        """Submit a job like a client, which cancels some of its jobs and retries the others."""
+        timeout_ms = self.random.choice([0, 400, 1500, 2600])
+        run_ms = self.random.choice([60, 900, 8000])
+        ends = self.random.choice(["wait", "cancel", "leave"]) if run_ms > 60 else "wait"
+        if run_ms == 8000 and not timeout_ms:
+            ends = "cancel"
+        job = make_job(job.id, count=1, run_ms=run_ms, timeout_ms=timeout_ms, objective_ms=1000)
+        self.world.run_s_by_job[job.id] = run_ms / 1000
+        for _ in range(2):
+            entry = self.random.choice(sorted(self.world.nodes))
+            began_at = self.world.loop.time()
+            call = asyncio.ensure_future(self.world.run_job(entry, job))
+            if ends != "wait":
+                await asyncio.wait([call], timeout=self.random.uniform(0.05, 1.2))
+                if not call.done():
+                    self._end_call(call, entry, job.id, leaves=ends == "leave")
+                    await asyncio.wait([call])
+                    return
+            outcome = await call
+            held_s = self.world.loop.time() - began_at
+            if timeout_ms and held_s > timeout_ms / 1000:
+                self.late_answers.append(f"{job.id}: {held_s:.3f} s of {timeout_ms} ms")
+            if outcome.verdict is not Verdict.UNKNOWN:
+                return
+            await asyncio.sleep(1.3)
+
+    def _end_call(self, call: asyncio.Task, entry: str, job_id: str, *, leaves: bool) -> None:
+        if leaves:
+            call.cancel()
+        elif not self.world.nodes[entry].pending_jobs.cancel(job_id):
+            return  # The entry has restarted and answers that it does not know the job.
+        self.cancelled_at_by_job[job_id] = self.world.loop.time()
+
+    async def watch(self) -> None:
+        """Record the tasks that run for too long after the cancellation of their job."""
+        while True:
+            await asyncio.sleep(0.05)
+            for worker in self.world.workers.values():
+                for task in worker.runs:
+                    at = self.cancelled_at_by_job.get(task.job, float("inf"))
+                    if self.world.loop.time() - at > LIMIT_S:
+                        self.long_runs.add(task.job)
+
+
+@pytest.mark.looptime
+@pytest.mark.parametrize("seed", random_seeds())
+@pytest.mark.parametrize("cells", [False, True])
+async def test_random_faults_with_cancellations_and_timeouts(world: World, seed: int, cells: bool):
+    if cells:
+        await world.open_cells(workers=3)
+    else:
+        await world.open()
+    series = CancellingFaultSeries(world, seed)
+    watcher = asyncio.ensure_future(series.watch())
+    await series.inject(faults=8)
+    watcher.cancel()
+    assert_that(series.late_answers, Equals([]))
+    assert_that(series.long_runs, Equals(set()))
+    # A job that was only ever called "not run" has not started later either.
+    started = {task.job for _, _, task, _ in world.starts}
+    refused = {job for job, given in world.verdicts_by_job.items() if given == {Verdict.REFUSED}}
+    assert_that(started & refused, Equals(set()))
--- a/zincwell/dispatch/_job_registry.py
+++ b/zincwell/dispatch/_job_registry.py
@@ -80,8 +80,7 @@
         job = self.jobs_by_id.get(request.id)
         if job is not None:
             log.info("job_attached job=%s entry=%s", request.id, entry)
-            job.waiting_entries.add(entry)
-            self._note_claim(job, request, requested_at=requested_at)
+            self._note_claim(job, request, entry=entry, requested_at=requested_at)
             return None
         job = Job(
             request=request,
@@ -89,15 +88,16 @@
             possibly_started=possibly_started,
             accepted_at=now,
         )
-        job.waiting_entries.add(entry)
         self.jobs_by_id[request.id] = job
         job.answer_by = -math.inf
-        self._note_claim(job, request, requested_at=requested_at)
+        self._note_claim(job, request, entry=entry, requested_at=requested_at)
         return job
 
-    def _note_claim(self, job: Job, request: JobRequest, *, requested_at: float) -> None:
+    def _note_claim(
+        self, job: Job, request: JobRequest, *, entry: str, requested_at: float
+    ) -> None:
         """Record that an entry has submitted the job, and how long its caller waits."""
-        job.claimed_at = self._loop.time()
+        job.waiting_entries[entry] = self._loop.time()
         job.requested_at = max(job.requested_at, requested_at)
         if not request.timeout_ms:
             job.answer_by = math.inf
@@ -137,7 +137,7 @@
             job.slo_s * 1000,
         )
         if job.waiting_entries:
-            self._answer(job.request.id, job.waiting_entries, outcome)
+            self._answer(job.request.id, set(job.waiting_entries), outcome)
 
     def refuse(self, job: Job, reason: str, *, retry_after_s: float = RETRY_AFTER_S) -> None:
         """End a job that this owner has not started, with a retry delay."""
@@ -161,7 +161,7 @@
             if by_request:
                 self._cancelled.add(cancelled, now=now)
             return
-        job.waiting_entries.discard(entry)
+        job.waiting_entries.pop(entry, None)
         for_all = by_request and job.requested_at < cancelled.cancelled_at
         if for_all or not job.waiting_entries:
             log.info("job_cancelled job=%s started=%s", job_id, job.started)
@@ -183,17 +183,22 @@
         """
         outcome = Outcome(verdict=Verdict.UNKNOWN, reason=reason, retry_after_s=RETRY_AFTER_S)
         for job in list(self.jobs_by_id.values()):
-            if job.waiting_entries <= entries:
+            if job.waiting_entries.keys() <= entries:
                 self.end(job, outcome, remember=False)
 
-    def end_unclaimed_jobs(self, entry: str, *, since: float, reason: str) -> None:
-        """End the jobs that only this entry waits for and that it has not submitted since a time.
+    def drop_replaced_entry(self, entry: str, *, since: float) -> None:
+        """End the wait of an entry for the jobs that it has not submitted since a time.
 
-        :param since: event loop time at which the entry was replaced by a new process.
+        :param since: event loop time at which a new process of the entry was first seen.
         """
-        outcome = Outcome(verdict=Verdict.UNKNOWN, reason=reason, retry_after_s=RETRY_AFTER_S)
+        outcome = Outcome(
+            verdict=Verdict.UNKNOWN, reason="entry replaced", retry_after_s=RETRY_AFTER_S
+        )
         for job in list(self.jobs_by_id.values()):
-            if job.waiting_entries == {entry} and job.claimed_at < since:
+            if job.waiting_entries.get(entry, since) >= since:
+                continue
+            del job.waiting_entries[entry]
+            if not job.waiting_entries:
                 self.end(job, outcome, remember=False)
 
     def pending_by_route(self) -> dict[str, int]:
--- a/zincwell/dispatch/_jobs.py
+++ b/zincwell/dispatch/_jobs.py
@@ -47,8 +47,8 @@
     :param arrived_at: when the caller's request arrived, on this entry's clock.
     :param possibly_started: whether a previous owner may have started tasks of it.
     :param accepted_at: when this owner received it, on this entry's clock.
-    :param waiting_entries: names of the entries whose callers wait for the outcome.
-    :param claimed_at: when an entry last submitted it, on this entry's clock.
+    :param waiting_entries: names of the entries whose callers wait for the outcome, each with the
+        time of its last submission, on this entry's clock.
     :param requested_at: when the newest request of a caller for it arrived at an entry, on this
         entry's clock.
     :param answer_by: when the owner's answer must be sent for the last caller to get it in time, on
@@ -68,8 +68,7 @@
     arrived_at: float
     possibly_started: bool
     accepted_at: float
-    waiting_entries: set[str] = field(default_factory=set)
-    claimed_at: float = 0.0
+    waiting_entries: dict[str, float] = field(default_factory=dict)
     requested_at: float = -math.inf
     answer_by: float = math.inf
     tasks: list[list[Task]] = field(default_factory=list)
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -513,7 +513,7 @@
             self.jobs.end(job, Outcome(verdict=Verdict.SUCCEEDED))
             return
         task_key = (task.id.step, task.id.index)
-        self._listener.on_tasks_done(job.request.id, job.waiting_entries, [task_key])
+        self._listener.on_tasks_done(job.request.id, set(job.waiting_entries), [task_key])
 
     def on_orphaned_run(self, session: WorkerSession, task: TaskId, number: int) -> Run | None:
         """Return the run to adopt for a task that a previous owner started, or None."""
--- a/zincwell/dispatch/_reachability.py
+++ b/zincwell/dispatch/_reachability.py
@@ -86,7 +86,7 @@
         for name, replaced_at in list(replaced_at_by_name.items()):
             if now - replaced_at > timeout_s:
                 del replaced_at_by_name[name]
-                owner.jobs.end_unclaimed_jobs(name, since=replaced_at, reason="entry replaced")
+                owner.jobs.drop_replaced_entry(name, since=replaced_at)
 
     def _find_silent_entries(self, timeout_s: float) -> set[str]:
         links_by_name = self._directory.links_by_name
