Activate stand-ins sooner in pools of several cells, and end jobs shared across a partition

In a cell of two domains, the half that is cut off counted as a majority, tried to claim the cell before it checked the store and asked nobody meanwhile. Its jobs were sent on to owners of other cells behind the same partition and counted as possibly started.

In a pool of several cells the store is now checked in the background, and members stand in one after the other from 0.45 s after the last contact on. While the home owner is silent, jobs go only to owners that have answered within 0.25 s. Jobs that the old owner may have started wait at least as long as before. In a single cell the time is unchanged, because the owner may run a lost entry's job until 0.9 s after the partition.

A job for which entries on both sides of a partition waited ran on both sides, before and after the change of times. The owner now ends a job if any entry of a cut-off domain waits for it. A replaced process no longer counts as heard when its successor acknowledges a delivery.

--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -13,7 +13,7 @@
 import pytest
 from aiohttp import web
 from testtools.assertions import assert_that
-from testtools.matchers import Contains, Equals, Is, MatchesStructure
+from testtools.matchers import Contains, Equals, GreaterThan, Is, LessThan, MatchesStructure
 
 from zincwell.dispatch._types import (
     Configuration,
@@ -142,8 +142,10 @@
     def __init__(self) -> None:
         self.outcome = Outcome(verdict=Verdict.SUCCEEDED)
         self.jobs: list[JobRequest] = []
+        self.waited_s: list[float] = []
 
     async def run(self, request: JobRequest, *, arrived_at: float) -> Outcome:
+        self.waited_s.append(asyncio.get_running_loop().time() - arrived_at)
         self.jobs.append(request)
         return self.outcome
 
@@ -372,6 +374,35 @@
     assert_that(node.pending_jobs.jobs[0].priority, Equals(1))
 
 
+async def test_a_starting_entry_holds_no_caller_beyond_its_timeout(
+    session, callers, node: FakeNode, monkeypatch: pytest.MonkeyPatch
+):
+    # Failure: an entry that waits for its first configuration holds a caller with a short timeout,
+    # and the job's wait counts from the end of that.
+    monkeypatch.setattr(node, "wait_for_configuration", lambda: asyncio.sleep(30))
+    began_at = asyncio.get_running_loop().time()
+    headers = {"Host": "h.example", "Timeout-Ms": "50"}
+    async with session.post(f"{callers}/q/{JOB_ID}", data=json.dumps(JOB), headers=headers) as got:
+        assert_that(got.status, Equals(503))
+        assert_that(got.headers["Retry-After"], Equals("1"))
+    assert_that(asyncio.get_running_loop().time() - began_at, LessThan(5))
+
+
+async def test_the_wait_of_a_job_counts_from_its_request(
+    session, callers, node: FakeNode, monkeypatch: pytest.MonkeyPatch
+):
+    async def wait_for_configuration():
+        await asyncio.sleep(0.05)
+        return node.configuration
+
+    monkeypatch.setattr(node, "wait_for_configuration", wait_for_configuration)
+    headers = {"Host": "h.example", "Timeout-Ms": "1500"}
+    async with session.post(f"{callers}/q/{JOB_ID}", data=json.dumps(JOB), headers=headers) as got:
+        assert_that(got.status, Equals(200))
+    assert_that(node.pending_jobs.jobs[0].timeout_ms, Equals(1500))
+    assert_that(node.pending_jobs.waited_s[0], GreaterThan(0.04))
+
+
 @pytest.mark.parametrize(
     ("verdict", "status"), [(Verdict.REFUSED, 503), (Verdict.UNKNOWN, 504), (Verdict.FAILED, 200)]
 )
--- a/zincwell/dispatch/_cell_directory.py
+++ b/zincwell/dispatch/_cell_directory.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from zincwell.dispatch._cells import SINGLE_CELL_LAYOUT, Cell, Layout
@@ -130,12 +130,20 @@
         return counts
 
     def choose(
-        self, request: JobRequest, *, home_silence_s: float, refused_by: Iterable[str]
+        self,
+        request: JobRequest,
+        *,
+        home_silence_s: float,
+        refused_by: Iterable[str],
+        is_reachable: Callable[[str], bool] = lambda cell: True,
     ) -> str | None:
         """Return the cell to submit a job to, or None if every suitable cell has refused it.
 
         :param home_silence_s: time without contact to the owner of the home cell.
         :param refused_by: names of the cells that have refused the job.
+        :param is_reachable: returns whether the owner of another cell has answered lately. Asked
+            only while the owner of the home cell is silent, since its heartbeats carry the reports
+            of the other cells: a partition may have cut them off as well.
         """
         refused = set(refused_by)
         home = self.home.name
@@ -146,6 +154,7 @@
             cell.name: self._state_of(cell.name, self.silence_s(cell.name))
             for cell in self.other_cells()
             if cell.name not in refused
+            and (home_silence_s < SUSPECT_AFTER_S or is_reachable(cell.name))
         }
         cpu = sum(step.count * step.cpu for step in request.steps)
         can_wait = (
--- a/zincwell/dispatch/_directory.py
+++ b/zincwell/dispatch/_directory.py
@@ -7,6 +7,7 @@
 import logging
 from collections import Counter
 from collections.abc import Callable, Collection
+from dataclasses import dataclass
 
 from zincwell.dispatch._domains import DOMAIN_TIMEOUT_S
 from zincwell.dispatch._messages import Cancel, Ping, Receipt
@@ -23,6 +24,18 @@
 PROBE_INTERVAL_S = 0.15
 
 
+@dataclass(slots=True, frozen=True, kw_only=True)
+class Replacement:
+    """A new process under the name of a known entry.
+
+    :param seen_at: event loop time at which the new process was first seen.
+    :param silent_since: event loop time at which the old one was last heard.
+    """
+
+    seen_at: float
+    silent_since: float
+
+
 class EntryDirectory:
     """Tracks all entries, including this one, and opens links to the others.
 
@@ -44,8 +57,7 @@
         self.links_by_name: dict[str, PeerLink] = {}
         self._me = me
         self._past_incarnations_by_name: dict[str, set[str]] = {}
-        # Event loop time at which a new process under a known name was first seen.
-        self.replaced_at_by_name: dict[str, float] = {}
+        self.replacements_by_name: dict[str, Replacement] = {}
         self._client = client
         self._observer = observer
         self._clock = clock
@@ -81,9 +93,15 @@
                 self.entries_by_name[entry.name] = entry
         elif self._replaces(entry, known, named):
             self._past_incarnations_by_name.setdefault(entry.name, set()).add(known.incarnation)
-            self.replaced_at_by_name[entry.name] = self._loop.time()
+            self._note_replacement(entry.name)
             self._add(entry)
 
+    def _note_replacement(self, name: str) -> None:
+        now = self._loop.time()
+        link = self.links_by_name.get(name)
+        silence_s = link.silence_s() if link is not None else 0.0
+        self.replacements_by_name[name] = Replacement(seen_at=now, silent_since=now - silence_s)
+
     def _replaces(self, entry: EntryInfo, known: EntryInfo, named: bool) -> bool:
         if entry.registered >= 0 and known.registered >= 0:
             return entry.is_newer_incarnation(known)
--- a/zincwell/dispatch/_election.py
+++ b/zincwell/dispatch/_election.py
@@ -16,6 +16,7 @@
 import logging
 import math
 from collections import Counter
+from collections.abc import Callable
 
 import msgspec
 
@@ -53,6 +54,24 @@
 # A member of the claim becomes the stand-in after this time without contact to the owner, if the
 # store is unreachable as well.
 STAND_IN_AFTER_S = 0.7
+# The same in a pool of several cells. Every owner there ends the jobs of a lost entry before its
+# callers retry them elsewhere, so a job that was never sent to an owner runs nowhere else. In a
+# single cell such a retry may meet a run of the owner, which ends up to 0.9 s after the start of
+# the partition, and the stand-in must not start earlier.
+EARLY_STAND_IN_AFTER_S = OWNER_TIMEOUT_S
+# Time without contact after which the store is checked for such an early stand-in: one poll after
+# the first probes, which are answered by then.
+EARLY_STORE_CHECK_AFTER_S = SUSPECT_AFTER_S + POLL_INTERVAL_S
+# Timeout of the store check of such an early stand-in. A slow store responds within 0.24 s.
+STORE_CHECK_TIMEOUT_S = 0.3
+# An early stand-in ignores older acknowledgements. Those of 0.3 s ago may report a contact with the
+# owner from before the partition, and the first member would miss its turn. Probes are answered
+# every 0.18 s.
+EARLY_RECEIPT_AGE_S = 0.2
+# The owner that is cut off may request leases until this time after the last contact: it detects
+# the partition after 0.7 s and stops its runs within 0.2 s. Stand-ins became active no earlier
+# before they had a shorter timeout, so jobs that may have been started wait as long as then.
+OWNER_ACTIVE_AFTER_CONTACT_S = 1.0
 # Number of entries of each failure domain that a claim lists. A domain that loses all of them while
 # it is cut off has no stand-in until the partition ends.
 MEMBERS_PER_DOMAIN = 6
@@ -140,6 +159,7 @@
     :param at_once: claim without a grace period, because no other entry owns the cell.
     :param turn: position of the cell in the layout; staggers the claims if all cells claim at the
         same time.
+    :param has_other_cells: returns whether the pool has other cells.
     """
 
     def __init__(
@@ -151,12 +171,14 @@
         cell: Cell = WHOLE_POOL_CELL,
         at_once: bool = False,
         turn: int = 0,
+        has_other_cells: Callable[[], bool] = lambda: False,
     ) -> None:
         self.owner: EntryInfo | None = None
         self.fence = 0
         self.cell = cell
         self._key = cell.claim_key()
         self._closed = False
+        self._has_other_cells = has_other_cells
         self.domain = ""
         self.successors: list[str] = []
         self.owner_leaving = False
@@ -182,6 +204,8 @@
         self._liveness_offset: int | None = None
         self._liveness_changed_at = self._loop.time()
         self._liveness_read_at = 0.0
+        self._is_checking_store = False
+        self._store_failed_at = -math.inf
         self._tasks = BackgroundTasks()
         self._tasks.spawn(self._run())
 
@@ -206,6 +230,10 @@
             return 0.0
         return min(self._loop.time() - self._last_contact_at, MAX_OWNER_SILENCE_S)
 
+    def previous_owner_active_until(self) -> float:
+        """Return the event loop time until which a cut-off owner may request leases."""
+        return self._silent_since + OWNER_ACTIVE_AFTER_CONTACT_S
+
     def is_owner(self) -> bool:
         """Return whether this entry is the owner or a stand-in."""
         return self.owner is not None and self.owner.incarnation == self.me.incarnation
@@ -369,16 +397,25 @@
             return
         if not self._has_no_known_owner():
             self._observer.probe()
-        if silence_s > STORE_CHECK_AFTER_S and not (
-            self._has_no_known_owner() or self._has_majority()
-        ):
-            # Probably this entry is the one that is cut off. If the store is unreachable, too, it
-            # may become the stand-in; otherwise it waits for the owner's liveness records.
-            await self._is_owner_writing_to_store()
+        several = self._has_other_cells()
+        check_after_s = EARLY_STORE_CHECK_AFTER_S if several else STORE_CHECK_AFTER_S
+        if silence_s > check_after_s and self._is_probably_cut_off():
+            # If the store is unreachable, too, this entry may become the stand-in; otherwise it
+            # waits for the owner's liveness records.
+            if several:
+                self._start_store_check()
+                if not self._is_store_checked():
+                    return
+            else:
+                await self._is_owner_writing_to_store()
             silence_s = self.silence_s()
+        if self._is_early_stand_in_due(silence_s) and self._can_stand_in():
+            self._stand_in()
+            return
         if silence_s < OWNER_TIMEOUT_S + self.rank() * DELAY_PER_RANK_S:
             return
-        if silence_s > STAND_IN_AFTER_S and self._store_failed and self._can_stand_in():
+        may_stand_in = self._store_failed and not several
+        if may_stand_in and silence_s > STAND_IN_AFTER_S and self._can_stand_in():
             self._stand_in()
             return
         if not await self._may_claim(silence_s):
@@ -413,13 +450,16 @@
             return False
         return not await self._is_owner_writing_to_store()
 
-    def _is_owner_reachable(self) -> bool:
-        """Return whether an entry that answers is in contact with the owner."""
+    def _is_owner_reachable(self, max_age_s: float = MAX_RECEIPT_AGE_S) -> bool:
+        """Return whether an entry that answers is in contact with the owner.
+
+        :param max_age_s: age up to which an answer counts.
+        """
         if self.owner is None:
             return False
         return any(
             receipt.fence >= self.fence and receipt.owner_silence_s < SUSPECT_AFTER_S
-            for receipt in self._observer.fresh_receipts(MAX_RECEIPT_AGE_S)
+            for receipt in self._observer.fresh_receipts(max_age_s)
         )
 
     def _has_owner_restarted(self) -> bool:
@@ -467,13 +507,77 @@
             self._liveness_offset = newest_offset
             self._liveness_changed_at = self._loop.time()
 
+    def _is_probably_cut_off(self) -> bool:
+        """Return whether this entry is probably cut off from the owner or the store.
+
+        In a cell of two failure domains, half of the entries answer on each side of a partition,
+        and the owner does not count. So in a pool of several cells, a majority says nothing if all
+        of it is in this entry's domain.
+        """
+        if self._has_no_known_owner():
+            return False
+        if not self._has_majority():
+            return True
+        if not self._has_other_cells():
+            return False
+        if self._store_failed:
+            # A claim or an earlier check has failed; the next check shows whether it is back.
+            return True
+        receipts = self._observer.fresh_receipts(MAX_RECEIPT_AGE_S)
+        if any(receipt.receiver.zone != self.me.zone for receipt in receipts):
+            return False
+        return any(entry.zone != self.me.zone for entry in self._observer.known_entries())
+
+    def _start_store_check(self) -> None:
+        """Check in the background whether the store is reachable, to go on probing meanwhile."""
+        recent = self._loop.time() - self._liveness_read_at < LIVENESS_INTERVAL_S / 2
+        if not self._is_checking_store and not (recent and self._is_store_checked()):
+            self._is_checking_store = True
+            self._tasks.spawn(self._check_store())
+
+    async def _check_store(self) -> None:
+        try:
+            async with asyncio.timeout(STORE_CHECK_TIMEOUT_S):
+                await self._read_liveness()
+        except TimeoutError:
+            log.info("store_check_timed_out")
+            self._store_failed = True
+        finally:
+            self._liveness_read_at = self._loop.time()
+            self._is_checking_store = False
+            if self._store_failed and self._store_failed_at < self._silent_since:
+                self._store_failed_at = self._liveness_read_at
+
+    def _is_store_checked(self) -> bool:
+        """Return whether the store was checked since the owner is suspected to have failed.
+
+        An earlier outage of the store says nothing about the cause of the owner's silence.
+        """
+        return self._liveness_read_at > self._silent_since + SUSPECT_AFTER_S
+
+    def _is_early_stand_in_due(self, silence_s: float) -> bool:
+        """Return whether this entry's turn as the stand-in has come in a pool of several cells."""
+        if not (self._has_other_cells() and self._store_failed and self._is_store_checked()):
+            return False
+        members = [] if self._claim is None else self._claim.members
+        names = [member.name for member in members if member.zone == self.me.zone]
+        if self.me.name not in names:
+            return False
+        # All members find the store unreachable at about the same time. Two stand-ins at once would
+        # exclude each other at the workers, but every job would be submitted to both of them and
+        # wait until the leases of the first one have expired.
+        delay_s = names.index(self.me.name) * DELAY_PER_RANK_S
+        failed_s = self._loop.time() - self._store_failed_at
+        return silence_s > EARLY_STAND_IN_AFTER_S and failed_s >= delay_s
+
     def _can_stand_in(self) -> bool:
         if self._claim is None or self._stand_in_round >= MAX_STAND_IN_ROUNDS:
             return False
         members = [member for member in self._claim.members if member.zone == self.me.zone]
         if self.me.incarnation not in [member.incarnation for member in members]:
             return False
-        if self._is_owner_reachable():
+        early = self._has_other_cells()
+        if self._is_owner_reachable(EARLY_RECEIPT_AGE_S if early else MAX_RECEIPT_AGE_S):
             return False
         # If no entry answers, probably only this one is cut off, and its failure domain is still
         # served by the owner.
--- a/zincwell/dispatch/_job_registry.py
+++ b/zincwell/dispatch/_job_registry.py
@@ -186,6 +186,17 @@
             if job.waiting_entries.keys() <= entries:
                 self.end(job, outcome, remember=False)
 
+    def end_shared_jobs_of(self, entries: set[str], *, reason: str) -> None:
+        """End the jobs that any of these cut-off entries waits for.
+
+        A retry may have brought a job to entries on both sides of a partition. The entry on the
+        other side submits it to a stand-in, which adopts its runs there or starts it again.
+        """
+        outcome = Outcome(verdict=Verdict.UNKNOWN, reason=reason, retry_after_s=RETRY_AFTER_S)
+        for job in list(self.jobs_by_id.values()):
+            if not job.waiting_entries.keys().isdisjoint(entries):
+                self.end(job, outcome, remember=False)
+
     def drop_replaced_entry(self, entry: str, *, since: float) -> None:
         """End the wait of an entry for the jobs that it has not submitted since a time.
 
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -70,6 +71,9 @@
 
 # Interval between the owner's heartbeats. Entries suspect the owner after three missed ones.
 HEARTBEAT_INTERVAL_S = 0.1
+# Entries ask owners of other cells whether they are reachable when the owner of the home cell has
+# missed a heartbeat. They send jobs there 0.25 s after the last one.
+PROBE_OTHERS_AFTER_S = 0.13
 # Long-poll timeout of reads of the configuration topic. A dead connection is detected only after
 # it expires, and configuration changes must take effect within 2 s.
 CONFIGURATION_LONG_POLL_S = 1.0
@@ -435,6 +439,7 @@
             cell=self._cell_directory.home,
             at_once=at_once,
             turn=self._cell_directory.layout.cells.index(self._cell_directory.home),
+            has_other_cells=lambda: bool(self._cell_directory.other_cells()),
         )
         self._router.election = self.election
 
@@ -669,6 +674,9 @@
                 cores=self.me.cores,
                 covers=lambda info: self._cell_directory.covers(info.zone, info.id),
                 renew_only_adopted=self._loop.time() < self._layout_settled_at,
+                previous_owner_active_until=(
+                    self.election.previous_owner_active_until() if domain else -math.inf
+                ),
             )
             self._owner.evacuate(self.evacuations.domains)
         self._elected_at = self._clock()
@@ -752,8 +760,11 @@
                 self._send_heartbeats()
                 if self._owner.domain is None:
                     self._worker_list_sender.send_due(self._heartbeat_count)
-            elif self.election.owner is not None and self.election.silence_s() > SUSPECT_AFTER_S:
-                self._reroute_unsent_jobs(self.election.owner)
+            elif self.election.owner is not None:
+                if self.election.silence_s() > PROBE_OTHERS_AFTER_S:
+                    self._router.probe_other_owners()
+                if self.election.silence_s() > SUSPECT_AFTER_S:
+                    self._reroute_unsent_jobs(self.election.owner)
 
     def _reroute_unsent_jobs(self, owner: EntryInfo) -> None:
         """Reroute to other cells the jobs that were not yet sent to a silent owner.
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -5,6 +5,7 @@
 import abc
 import asyncio
 import logging
+import math
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from time import perf_counter
@@ -111,6 +112,8 @@
     :param covers: returns whether a worker belongs to the cell.
     :param renew_only_adopted: renew no leases on workers with orphaned runs. Owners of other cells
         may rely on these runs' leases expiring.
+    :param previous_owner_active_until: event loop time until which an owner that is cut off from a
+        stand-in may request leases.
     """
 
     def __init__(
@@ -125,7 +128,9 @@
         cores: float = 1.0,
         covers: Callable[[WorkerInfo], bool] = lambda info: True,
         renew_only_adopted: bool = False,
+        previous_owner_active_until: float = -math.inf,
     ) -> None:
+        self._previous_owner_active_until = previous_owner_active_until
         self._metrics = metrics
         self._cores = cores
         self._covers = covers
@@ -270,7 +275,8 @@
         if not job.possibly_started or self._sees_all_runs(now):
             return 0.0
         lease_s = self._limits.max_lease_s * (1 + MAX_CLOCK_DRIFT_RATE)
-        expired_at = job.accepted_at + lease_s + self._limits.thaw_slack_s + LEASE_EXPIRY_MARGIN_S
+        requested_at = max(job.accepted_at, self._previous_owner_active_until)
+        expired_at = requested_at + lease_s + self._limits.thaw_slack_s + LEASE_EXPIRY_MARGIN_S
         return max(expired_at - now, 0.0)
 
     # -- jobs -------------------------------------------------------------------------------
--- a/zincwell/dispatch/_peers.py
+++ b/zincwell/dispatch/_peers.py
@@ -113,6 +113,15 @@
         self._queue.append(message)
         self._wake.set()
 
+    def send_if_idle(self, message: Message) -> None:
+        """Queue a message unless others wait for an acknowledgement."""
+        if self.is_idle():
+            self.send(message)
+
+    def has_answered_within(self, age_s: float) -> bool:
+        """Return whether the peer has acknowledged a delivery within a time."""
+        return self._loop.time() - self.last_receipt_at < age_s
+
     def withdraw_jobs(self) -> set[str]:
         """Cancel all jobs that are queued or in flight, because another owner has them now.
 
@@ -236,7 +245,9 @@
                     log.info('peer_silent peer=%s error="%s"', self.peer.name, error)
                 await asyncio.sleep(min(RETRY_PAUSE_S * self._failures, MAX_RETRY_PAUSE_S))
         self._failures = 0
-        self.note_heard()
+        if receipt.receiver.incarnation == self.peer.incarnation:
+            # A new process at the address says nothing about the jobs of the one before it.
+            self.note_heard()
         self.last_receipt_at = self._loop.time()
         self.last_receipt = receipt
         return receipt
--- a/zincwell/dispatch/_reachability.py
+++ b/zincwell/dispatch/_reachability.py
@@ -69,7 +69,7 @@
         if not cut_off and owner.domain is None:
             return
         cut_off_entries = {entry.name for entry in entries if entry.zone in cut_off}
-        owner.jobs.end_jobs_of(cut_off_entries, reason="failure domain cut off")
+        owner.jobs.end_shared_jobs_of(cut_off_entries, reason="failure domain cut off")
         owner.jobs.end_jobs_of(cut_off_entries | silent, reason="entry lost during a partition")
 
     def _end_jobs_of_lost_entries(self, owner: Owner) -> None:
@@ -82,11 +82,11 @@
             owner.jobs.end_jobs_of(lost, reason="entry lost")
         now = asyncio.get_running_loop().time()
         timeout_s = ENTRY_TIMEOUT_S if self._cell_directory.other_cells() else ENTRY_LOST_S
-        replaced_at_by_name = self._directory.replaced_at_by_name
-        for name, replaced_at in list(replaced_at_by_name.items()):
-            if now - replaced_at > timeout_s:
-                del replaced_at_by_name[name]
-                owner.jobs.drop_replaced_entry(name, since=replaced_at)
+        replacements_by_name = self._directory.replacements_by_name
+        for name, replacement in list(replacements_by_name.items()):
+            if now - replacement.silent_since > timeout_s:
+                del replacements_by_name[name]
+                owner.jobs.drop_replaced_entry(name, since=replacement.seen_at)
 
     def _find_silent_entries(self, timeout_s: float) -> set[str]:
         links_by_name = self._directory.links_by_name
--- a/zincwell/dispatch/_router.py
+++ b/zincwell/dispatch/_router.py
@@ -8,11 +8,18 @@
 from zincwell.dispatch._cell_directory import CellDirectory
 from zincwell.dispatch._directory import EntryDirectory
 from zincwell.dispatch._election import Election
-from zincwell.dispatch._messages import Cancel, Message, Submit
+from zincwell.dispatch._messages import Cancel, Message, Ping, Submit
 from zincwell.dispatch._peers import PeerLink
 from zincwell.dispatch._pending_jobs import OwnerChannel
 from zincwell.dispatch._types import EntryInfo, JobRequest
 
+# An owner of another cell that has answered within this time gets jobs while the home owner is
+# silent. It is asked every 0.1 s meanwhile, and an answer takes 2 ms.
+REACHABLE_WITHIN_S = 0.25
+# Owners of other cells that an entry asks. In a pool of 28 cells, the entries of a cell would open
+# 27 connections each.
+MAX_PROBED_OWNERS = 4
+
 
 class OwnerRouter(OwnerChannel):
     """Sends jobs to the owner of their cell, which may be this entry itself.
@@ -45,7 +52,39 @@
         if not self._cell_directory.other_cells():
             return None if refused_by else self.home_cell()
         silence_s = self.election.silence_s() if self._hears_owner() else math.inf
-        return self._cell_directory.choose(request, home_silence_s=silence_s, refused_by=refused_by)
+        return self._cell_directory.choose(
+            request,
+            home_silence_s=silence_s,
+            refused_by=refused_by,
+            is_reachable=self._is_reachable,
+        )
+
+    def _is_reachable(self, cell: str) -> bool:
+        """Return whether the owner of another cell has answered lately; see `probe_other_owners`.
+
+        Jobs sent to an owner that does not answer may have been started there, and would wait
+        under every later owner.
+        """
+        owner = self._cell_directory.owner_of(cell)
+        if owner is None:
+            return False
+        if owner.incarnation == self._me.incarnation:
+            return True
+        link = self._directory.find_link(owner)
+        if link is None or not link.has_answered_within(REACHABLE_WITHIN_S):
+            self._directory.link(owner).send_if_idle(Ping())
+            return False
+        return True
+
+    def probe_other_owners(self) -> None:
+        """Ask owners of other cells for an answer while the owner of the home cell is silent."""
+        owners = [self._cell_directory.owner_of(c.name) for c in self._cell_directory.other_cells()]
+        known = [owner for owner in owners if owner is not None]
+        # Each entry asks others, which spreads their jobs over the cells.
+        start = sum(self._me.name.encode()) % max(len(known), 1)
+        for owner in [*known[start:], *known[:start]][:MAX_PROBED_OWNERS]:
+            if owner.incarnation != self._me.incarnation:
+                self._directory.link(owner).send_if_idle(Ping())
 
     def fence(self, cell: str) -> int:
         """Return the fencing token of a cell's owner, 0 if no owner has been heard.
