--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -73,7 +73,7 @@
 HEARTBEAT_INTERVAL_S = 0.1
 # Entries ask owners of other cells whether they are reachable when the owner of the home cell has
 # missed a heartbeat. They send jobs there 0.25 s after the last one.
-PROBE_OTHERS_AFTER_S = 0.13
+PROBE_OTHERS_AFTER_S = 0.16
 # Long-poll timeout of reads of the configuration topic. A dead connection is detected only after
 # it expires, and configuration changes must take effect within 2 s.
 CONFIGURATION_LONG_POLL_S = 1.0
--- a/zincwell/dispatch/_reachability.py
+++ b/zincwell/dispatch/_reachability.py
@@ -58,7 +58,6 @@
         """
         if not self._worker_list.is_fresh():
             self._domains.note_worker_list_unavailable()
-        self._end_jobs_of_lost_entries(owner)
         silent = self._find_silent_entries(ENTRY_TIMEOUT_S)
         if self._cell_directory.other_cells():
             # The callers of a failed entry may resubmit their jobs to any cell, which would run
@@ -66,22 +65,26 @@
             owner.jobs.end_jobs_of(silent, reason="entry lost")
         entries = self._directory.cell_members()
         cut_off = self._domains.find_cut_off_domains(entries, self._directory.links_by_name)
-        if not cut_off and owner.domain is None:
+        partitioned = bool(cut_off) or owner.domain is not None
+        self._end_jobs_of_lost_entries(owner, partitioned=partitioned)
+        if not partitioned:
             return
         cut_off_entries = {entry.name for entry in entries if entry.zone in cut_off}
         owner.jobs.end_shared_jobs_of(cut_off_entries, reason="failure domain cut off")
         owner.jobs.end_jobs_of(cut_off_entries | silent, reason="entry lost during a partition")
 
-    def _end_jobs_of_lost_entries(self, owner: Owner) -> None:
+    def _end_jobs_of_lost_entries(self, owner: Owner, *, partitioned: bool) -> None:
         """End the jobs that no caller waits for any more, as their entry is gone for good.
 
-        A new process under the name of the entry does not know the jobs of the one before it.
+        A new process under the name of the entry does not know the jobs of the one before it. If
+        their callers may reach another owner, these jobs end as early as those of a silent entry.
         """
         lost = self._find_silent_entries(ENTRY_LOST_S)
         if lost:
             owner.jobs.end_jobs_of(lost, reason="entry lost")
         now = asyncio.get_running_loop().time()
-        timeout_s = ENTRY_TIMEOUT_S if self._cell_directory.other_cells() else ENTRY_LOST_S
+        urgent = partitioned or self._cell_directory.other_cells()
+        timeout_s = ENTRY_TIMEOUT_S if urgent else ENTRY_LOST_S
         replacements_by_name = self._directory.replacements_by_name
         for name, replacement in list(replacements_by_name.items()):
             if now - replacement.silent_since > timeout_s:
