--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Callable
 
 import msgspec
@@ -70,6 +71,9 @@
 
 # Interval between the owner's heartbeats. Entries suspect the owner after three missed ones.
 HEARTBEAT_INTERVAL_S = 0.1
+# Entries ask owners of other cells whether they are reachable when the owner of the home cell has
+# missed a heartbeat. They send jobs there 0.25 s after the last one.
+PROBE_OTHERS_AFTER_S = 0.16
 # Long-poll timeout of reads of the configuration topic. A dead connection is detected only after
 # it expires, and configuration changes must take effect within 2 s.
 CONFIGURATION_LONG_POLL_S = 1.0
@@ -435,6 +439,7 @@
             cell=self._cell_directory.home,
             at_once=at_once,
             turn=self._cell_directory.layout.cells.index(self._cell_directory.home),
+            has_other_cells=lambda: bool(self._cell_directory.other_cells()),
         )
         self._router.election = self.election
 
@@ -519,6 +524,7 @@
             version=self.configuration_version(),
             late=late,
             evacuations=self.evacuations.state_to_share(),
+            cancelled=self._directory.undelivered_cancellations(envelope.sender),
         )
 
     def _handle(self, sender: EntryInfo, message: Message, *, delay_s: float = 0.0) -> None:
@@ -527,14 +533,14 @@
         :param delay_s: age of the message content on arrival, in seconds.
         """
         if isinstance(message, Submit):
-            self._handle_submission(sender.name, message)
+            self._handle_submission(sender.name, message, delay_s=delay_s)
         elif isinstance(message, JobEnded):
             self.pending_jobs.handle_answer(message)
         elif isinstance(message, TasksDone):
             self.pending_jobs.note_done(message.job, message.tasks)
         elif isinstance(message, Cancel):
             if self._owner is not None:
-                self._owner.jobs.cancel(message.job, entry=sender.name)
+                self._owner.cancel(message, entry=sender.name, delay_s=delay_s)
         elif isinstance(message, CellReport):
             self._cell_directory.note_report(message, delay_s=delay_s)
         elif isinstance(message, WorkerListSnapshot):
@@ -564,7 +570,7 @@
             counts[route] = counts.get(route, 0) + count
         return counts
 
-    def _handle_submission(self, entry: str, message: Submit) -> None:
+    def _handle_submission(self, entry: str, message: Submit, *, delay_s: float) -> None:
         if self._owner is None:
             # The sender already follows another owner, or soon will, and submits its jobs there.
             log.info("not_owner job=%s entry=%s", message.job.id, entry)
@@ -575,6 +581,7 @@
             age_s=message.age_s,
             possibly_started=message.exposed,
             done=message.done,
+            delay_s=delay_s,
         )
 
     def has_usable_worker_list(self) -> bool:
@@ -610,6 +617,8 @@
         self._check_owner_restart()
         if receipt.cell == self._cell_directory.home.name:
             self.election.note_receipt(receipt)
+        for cancel in receipt.cancelled:
+            self._handle(receipt.receiver, cancel)
         if receipt.late:
             self.pending_jobs.resubmit(after_s=0)
         self.configurations.note_version(receipt.receiver, receipt.version)
@@ -665,6 +674,9 @@
                 cores=self.me.cores,
                 covers=lambda info: self._cell_directory.covers(info.zone, info.id),
                 renew_only_adopted=self._loop.time() < self._layout_settled_at,
+                previous_owner_active_until=(
+                    self.election.previous_owner_active_until() if domain else -math.inf
+                ),
             )
             self._owner.evacuate(self.evacuations.domains)
         self._elected_at = self._clock()
@@ -748,8 +760,11 @@
                 self._send_heartbeats()
                 if self._owner.domain is None:
                     self._worker_list_sender.send_due(self._heartbeat_count)
-            elif self.election.owner is not None and self.election.silence_s() > SUSPECT_AFTER_S:
-                self._reroute_unsent_jobs(self.election.owner)
+            elif self.election.owner is not None:
+                if self.election.silence_s() > PROBE_OTHERS_AFTER_S:
+                    self._router.probe_other_owners()
+                if self.election.silence_s() > SUSPECT_AFTER_S:
+                    self._reroute_unsent_jobs(self.election.owner)
 
     def _reroute_unsent_jobs(self, owner: EntryInfo) -> None:
         """Reroute to other cells the jobs that were not yet sent to a silent owner.
@@ -758,7 +773,7 @@
         objectives.
         """
         if self._cell_directory.other_cells():
-            self.pending_jobs.note_unsent(self._directory.withdraw_unsent(owner.name))
+            self.pending_jobs.note_unsent(self._directory.withdraw_unsent(owner))
 
     def _check_owner_lag(self, due_at: float) -> None:
         now = self._loop.time()
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -5,6 +5,7 @@
 import abc
 import asyncio
 import logging
+import math
 from collections.abc import Callable, Collection
 from dataclasses import dataclass
 from time import perf_counter
@@ -14,7 +15,9 @@
 from zincwell.dispatch._health import WorkerHealthMonitor
 from zincwell.dispatch._job_registry import JobRegistry
 from zincwell.dispatch._jobs import Job, Task, TaskState
+from zincwell.dispatch._messages import Cancel
 from zincwell.dispatch._metrics import Metrics
+from zincwell.dispatch._orphaned_runs import OrphanedRunStopper
 from zincwell.dispatch._overload import OverloadControl
 from zincwell.dispatch._run_times import JobRunTimeEstimator
 from zincwell.dispatch._runs import Run, RunIndex, RunOutcome
@@ -35,10 +38,6 @@
 # Run numbers available to one owner for one task. The owner's fencing token supplies the high-order
 # part, so run numbers increase from one owner to the next.
 RUNS_PER_FENCE = 64
-# Orphaned runs that no job claims within this time are stopped. Entries resubmit their jobs within
-# about 10 ms of a new owner's first heartbeat. The value must stay well below 1.3 s, the earliest
-# time after its last lease renewal at which a partitioned owner counts its runs as expired.
-ORPHAN_GRACE_S = 0.3
 # Added to the time by which every lease that a previous owner requested must have expired. Until
 # then a new owner starts no task that may still be running on a worker it can't reach.
 LEASE_EXPIRY_MARGIN_S = 0.05
@@ -114,6 +113,8 @@
     :param covers: returns whether a worker belongs to the cell.
     :param renew_only_adopted: renew no leases on workers with orphaned runs. Owners of other cells
         may rely on these runs' leases expiring.
+    :param previous_owner_active_until: event loop time until which an owner that is cut off from a
+        stand-in may request leases.
     """
 
     def __init__(
@@ -128,7 +129,9 @@
         cores: float = 1.0,
         covers: Callable[[WorkerInfo], bool] = lambda info: True,
         renew_only_adopted: bool = False,
+        previous_owner_active_until: float = -math.inf,
     ) -> None:
+        self._previous_owner_active_until = previous_owner_active_until
         self._metrics = metrics
         self._cores = cores
         self._covers = covers
@@ -150,6 +153,9 @@
             make_session=self._make_session,
             on_reborn=self._forget_worker,
         )
+        self._orphans = OrphanedRunStopper(
+            sessions_by_id=self._workers.sessions_by_id, is_cancelled=self.jobs.is_cancelled
+        )
         self._run_visibility = RunVisibility()
         self._runs = RunIndex()
         self._run_times = JobRunTimeEstimator()
@@ -291,7 +297,8 @@
         if not job.possibly_started or self._sees_all_runs(now):
             return 0.0
         lease_s = self._limits.max_lease_s * (1 + MAX_CLOCK_DRIFT_RATE)
-        expired_at = job.accepted_at + lease_s + self._limits.thaw_slack_s + LEASE_EXPIRY_MARGIN_S
+        requested_at = max(job.accepted_at, self._previous_owner_active_until)
+        expired_at = requested_at + lease_s + self._limits.thaw_slack_s + LEASE_EXPIRY_MARGIN_S
         return max(expired_at - now, 0.0)
 
     # -- jobs -------------------------------------------------------------------------------
@@ -304,6 +311,7 @@
         age_s: float,
         possibly_started: bool,
         done: list[tuple[int, int]],
+        delay_s: float = 0.0,
     ) -> None:
         """Accept a job, or add an entry to those that wait for it.
 
@@ -311,8 +319,15 @@
         :param age_s: time since the caller's request arrived, in seconds.
         :param possibly_started: whether a previous owner may have started tasks of the job.
         :param done: step and index of each task that is already done.
+        :param delay_s: how long the submission was on its way, in seconds.
         """
-        job = self.jobs.open(request, entry=entry, age_s=age_s, possibly_started=possibly_started)
+        job = self.jobs.open(
+            request,
+            entry=entry,
+            age_s=age_s,
+            possibly_started=possibly_started,
+            delay_s=delay_s,
+        )
         if job is None:
             return
         for step, index in done:
@@ -334,6 +349,20 @@
             return
         self._enqueue(job)
 
+    def cancel(self, message: Cancel, *, entry: str, delay_s: float) -> None:
+        """Cancel a job for the callers of one entry, or for all if a caller asked for it.
+
+        :param delay_s: how long the message was on its way, in seconds.
+        """
+        self.jobs.cancel(
+            message.job,
+            entry=entry,
+            age_s=message.age_s + delay_s,
+            by_request=message.by_request,
+        )
+        if self.jobs.is_cancelled(message.job):
+            self._orphans.stop_job(message.job)
+
     def capacity_status(self) -> CapacityStatus:
         """Return the free capacity of the workers and the time they need for the waiting tasks."""
         sessions = self._workers.sessions_by_id.values()
@@ -528,13 +557,14 @@
             self.jobs.end(job, Outcome(verdict=Verdict.SUCCEEDED))
             return
         task_key = (task.id.step, task.id.index)
-        self._listener.on_tasks_done(job.request.id, job.waiting_entries, [task_key])
+        self._listener.on_tasks_done(job.request.id, set(job.waiting_entries), [task_key])
 
     def on_orphaned_run(self, session: WorkerSession, task: TaskId, number: int) -> Run | None:
         """Return the run to adopt for a task that a previous owner started, or None."""
         job = self.jobs.jobs_by_id.get(task.job)
         known = job.task(task) if job is not None else None
         if known is None or known.state is not TaskState.WAITING:
+            self._orphans.note(session, task, number)
             return None
         step = job.request.steps[task.step]
         job.mark_running(known)
@@ -582,7 +612,7 @@
             await asyncio.sleep(REVIEW_INTERVAL_S)
             now = self._loop.time()
             self._end_unservable_jobs(now)
-            self._stop_orphaned_runs(now)
+            self._orphans.stop_due(now)
             awaits_lease_expiry = any(
                 job.possibly_started and job.waiting for job in self.jobs.jobs_by_id.values()
             )
@@ -590,6 +620,8 @@
                 self.on_capacity_available()
 
     def _end_unservable_jobs(self, now: float) -> None:
+        for job in self.jobs.pop_unstarted_at_timeout(now):
+            self.jobs.refuse(job, "not started within the caller's timeout")
         for refusal in self._overload.find_jobs_to_refuse(now):
             job = refusal.job
             log.info(
@@ -647,14 +679,3 @@
             return True
         job.fit_checked_version = self._workers.version
         return self._workers.could_ever_fit(job.request)
-
-    def _stop_orphaned_runs(self, now: float) -> None:
-        for session in self._workers.sessions_by_id.values():
-            if session.orphaned_runs and now - session.orphaned_since > ORPHAN_GRACE_S:
-                log.info(
-                    "orphaned_runs_stopped worker=%s tasks=%d",
-                    session.info.id,
-                    len(session.orphaned_runs),
-                )
-                session.orphaned_since = now
-                session.stop_orphaned_runs()
