Keep as a value whether a restarted worker's record is known

A placement asks it once for each worker. Behaviour is unchanged. tests/test_worker_incarnations.py test_pool.py test_pool_messages.py test_pools.py test_leaving_workers.py test_store_records.py: 178 passed; 90 tests of test_pool_faults.py passed.

--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -409,7 +409,7 @@
     await finish(jobs)
     assert_that(verdicts(jobs), Equals({Verdict.SUCCEEDED}))
     await asyncio.sleep(1)
-    assert_that(session_of(world, workers[0]).awaits_record(), Is(False))
+    assert_that(session_of(world, workers[0]).awaits_record, Is(False))
 
 
 # -- records --------------------------------------------------------------------------------------
@@ -422,7 +422,7 @@
     worker.restart(cpu=30_000, kind="b")
     await asyncio.sleep(1)
     session = session_of(world, worker)
-    assert_that((session.held, session.awaits_record()), Equals((True, True)))
+    assert_that((session.held, session.awaits_record), Equals((True, True)))
     assert_that(session.can_serve(world.loop.time()), Is(False))
     since = world.loop.time()
     jobs = [submit(world, other_than(world), f"job-{n}", count=4) for n in range(3)]
@@ -449,7 +449,7 @@
     await asyncio.sleep(1)
     session = session_of(world, worker)
     assert_that((session.info.draining, session.info.cpu), Equals((False, 64_000)))
-    assert_that((session.awaits_record(), reborn(world)), Equals((True, 1)))
+    assert_that((session.awaits_record, reborn(world)), Equals((True, 1)))
 
 
 async def test_both_incarnations_listed_in_turn_open_one_session(world: World):
--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -114,6 +114,7 @@
     :ivar silent: whether the worker has stopped answering.
     :ivar fenced: whether the worker has accepted a higher fencing token.
     :ivar replaced: whether another process has taken the worker's address.
+    :ivar awaits_record: whether the worker has restarted and its new record is not known yet.
     :ivar on_probation: whether the worker gets one run at a time, after a quarantine.
     """
 
@@ -136,6 +137,7 @@
         self.silent = False
         self.fenced = False
         self.replaced = False
+        self.awaits_record = False
         self.evacuated = False
         self.pause_until = 0.0
         self.quarantined_until = 0.0
@@ -192,6 +194,7 @@
         self._calls.born_ms = born_ms
         self._calls.assume_leases(previous._calls)
         self._record_born_ms = max(previous._record_born_ms, self.info.born_ms)
+        self._check_record()
         self._listed = previous._listed
         self._unlisted_at = previous._unlisted_at
         orders = previous._earlier_orders | previous._unanswered_orders
@@ -232,6 +235,7 @@
             self._calls.info = info
             self._calls.born_ms = self._calls.born_ms or info.born_ms
             self._record_born_ms = info.born_ms
+            self._check_record()
         self.info = info
 
     @property
@@ -239,9 +243,11 @@
         """The worker's incarnation, 0 if it sends none, None if that is not known yet."""
         return self._calls.born_ms
 
-    def awaits_record(self) -> bool:
-        """Return whether the worker has restarted and its new record is not known yet."""
-        return is_record_missing(record_ms=self._record_born_ms, known_ms=self._calls.born_ms)
+    def _check_record(self) -> None:
+        # Kept as a value, since each placement asks for it once for each worker.
+        self.awaits_record = is_record_missing(
+            record_ms=self._record_born_ms, known_ms=self._calls.born_ms
+        )
 
     def raise_fence(self, fence: int) -> None:
         """Send orders under a higher fencing token from now on.
@@ -262,7 +268,7 @@
             self.held
             and not self.silent
             and not self.fenced
-            and not self.awaits_record()
+            and not self.awaits_record
             and self.is_schedulable()
             and not self.orphaned_runs
             and now >= self.pause_until
@@ -275,7 +281,7 @@
         return (
             self.held
             and not self.silent
-            and not self.awaits_record()
+            and not self.awaits_record
             and self.is_schedulable()
             and now >= self.quarantined_until
         )
