Take deferral at high load out of admission control

Late jobs were deferred at any load as long as their callers waited, and started only as a whole. A failure domain is a cell of its own from 56 workers on.

--- a/zincwell/dispatch/_jobs.py
+++ b/zincwell/dispatch/_jobs.py
@@ -60,7 +60,6 @@
     :param slo_s: age up to which an answer counts as in time.
     :param smallest_cpu: smallest CPU demand of its steps, in millicores.
     :param queued_in: list of the queue that holds it, or None.
-    :param min_starts: it may start only if this many of its tasks can start at once.
     :param forecast_start_at: when its first task would start by the first forecast after its
         arrival, or None before that.
     :param fit_checked_version: version of the worker set that it was last checked against.
@@ -88,7 +87,6 @@
     slo_s: float = 0.0
     smallest_cpu: int = 0
     queued_in: list[Job] | None = None
-    min_starts: int = 1
     forecast_start_at: float | None = None
     fit_checked_version: int = -1
     expected_end_at: float = 0.0
@@ -122,10 +120,6 @@
             and not any(self.unfinished_by_step[earlier] for earlier in step.after)
         ]
 
-    def widest_ready_step(self) -> Step:
-        """Return the step with the largest CPU demand per task, of those that may start."""
-        return max((step for _, step in self.ready_steps()), key=lambda step: step.cpu)
-
     def mark_running(self, task: Task) -> None:
         """Mark a task as running, after a run was ordered or found."""
         if task.state is TaskState.WAITING:
--- a/zincwell/dispatch/_overload.py
+++ b/zincwell/dispatch/_overload.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import enum
-from collections import Counter
 from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass
 
@@ -20,10 +19,8 @@
     RetrySchedule,
     StartForecast,
     choose_retry_after_s,
-    count_min_starts,
     count_waves,
     judge_late_job,
-    judge_late_job_before_timeout,
     latest_useful_age_s,
     meets_objective,
 )
@@ -144,7 +141,7 @@
             forecast = simulation.place(self._make_demand(job, now))
             if job.started:
                 self._queue.add(job, now=now)
-            elif self._is_in_time(job, forecast, workers, load, now):
+            elif self._is_in_time(job, forecast, workers, now):
                 self._note_forecast(job, forecast, now)
             else:
                 simulation.undo()
@@ -165,22 +162,14 @@
             wait_s = 0.0
             if forecast is not None and not self._start_delay_s(job, now):
                 wait_s = forecast.last_start_s
-            end_age_s = self._end_age_s(job, forecast, workers, now)
+            end_age_s = self._end_age_s(job, forecast, now)
             objective_s = self._objective_s(job, workers)
             timeout_s = job.request.timeout_ms / 1000
-            if timeout_s:
-                decision = judge_late_job_before_timeout(
-                    end_age_s=end_age_s,
-                    wait_s=wait_s,
-                    objective_s=objective_s,
-                    timeout_s=timeout_s,
-                    load=load,
-                )
-            else:
-                decision = judge_late_job(end_age_s=end_age_s, objective_s=objective_s, load=load)
+            decision = judge_late_job(
+                end_age_s=end_age_s, objective_s=objective_s, timeout_s=timeout_s, load=load
+            )
             if decision is LateJobDecision.DEFER:
-                min_starts = self._count_min_starts(job, workers) if timeout_s else 1
-                self._queue.defer(job, min_starts=min_starts)
+                self._queue.defer(job)
                 self._note_forecast(job, forecast, now)
                 continue
             simulation.undo()
@@ -209,44 +198,28 @@
             refusals.append(JobRefusal(job=job, wait_s=wait_s, retry_after_s=retry_s, cause=cause))
         return refusals
 
-    def _count_min_starts(self, job: Job, workers: _ServiceWorkers) -> int:
-        """Return how many tasks a deferred job must be able to start at once.
-
-        A job that starts piece by piece is finished first, and so takes the capacity of jobs in
-        time for its other tasks.
-        """
-        return max(
-            count_min_starts(tasks=step.count, pool_tasks=workers.count_tasks(step.cpu))
-            for _, step in job.ready_steps()
-        )
-
     def _is_in_time(
         self,
         job: Job,
         forecast: StartForecast | None,
         workers: _ServiceWorkers,
-        load: float,
         now: float,
     ) -> bool:
         return meets_objective(
-            end_age_s=self._end_age_s(job, forecast, workers, now),
+            end_age_s=self._end_age_s(job, forecast, now),
             objective_s=self._objective_s(job, workers),
-            load=load if job.request.timeout_ms else None,
         )
 
-    def _end_age_s(
-        self, job: Job, forecast: StartForecast | None, workers: _ServiceWorkers, now: float
-    ) -> float:
+    def _end_age_s(self, job: Job, forecast: StartForecast | None, now: float) -> float:
         """Return the age of a job at its end by the forecast.
 
-        A job that may have runs that the owner does not see may end at any moment.
+        Its own run time is that on a typical worker, because placement chooses one that is fast
+        enough. A job that may have runs that the owner does not see may end at any moment.
         """
         wait_s = run_s = 0.0
         if not self._start_delay_s(job, now):
             wait_s = forecast.last_start_s if forecast is not None else 0.0
             run_s = self._run_times.expect_job_s(job)
-            if forecast is not None and workers.are_uneven():
-                run_s = forecast.last_end_s - wait_s
         return now - job.arrived_at + wait_s + run_s
 
     def _note_forecast(self, job: Job, forecast: StartForecast | None, now: float) -> None:
@@ -359,19 +332,9 @@
     ) -> None:
         self.cpu = sum(session.info.cpu for session in sessions)
         self.sessions = sessions
-        self._workers_by_cpu = Counter(s.info.cpu for s in sessions if s.is_schedulable())
         self._load = load
         self._slowdowns_by_id = slowdowns_by_id
 
-    def are_uneven(self) -> bool:
-        """Return whether the workers are known to differ in speed."""
-        return bool(self._slowdowns_by_id)
-
-    def count_tasks(self, cpu: int) -> int:
-        """Return how many tasks of a size the workers would run if they were empty."""
-        sizes = self._workers_by_cpu.items()
-        return sum(workers * (size // max(cpu, 1)) for size, workers in sizes)
-
     def slowdown(self, session: WorkerSession) -> float:
         """Return how many times as long as on a typical worker tasks run on this one."""
         return self._slowdowns_by_id.get(session.info.id, 1.0)
@@ -387,19 +350,6 @@
         return self._load.cores(now) / capacity
 
     def capacity(self, max_utilization: float, now: float) -> float:
-        """Return the usable capacity in cores of a typical worker, in thousandths."""
-        return max_utilization * sum(
-            self._usable_cpu(session) for session in self.sessions if session.can_serve(now)
-        )
-
-    def _usable_cpu(self, session: WorkerSession) -> float:
-        """Return the capacity of a worker in cores of a typical one, in thousandths.
-
-        A worker on probation runs one task at a time, so only the cores in use count.
-        """
-        cpu = session.info.cpu
-        if not self._slowdowns_by_id:
-            return cpu
-        if session.on_probation:
-            cpu -= max(session.free_cpu, 0)
-        return cpu / self.slowdown(session)
+        """Return the usable capacity in thousandths of a core."""
+        usable = sum(session.info.cpu for session in self.sessions if session.can_serve(now))
+        return max_utilization * usable
--- a/zincwell/dispatch/_placement.py
+++ b/zincwell/dispatch/_placement.py
@@ -5,7 +5,7 @@
 import bisect
 from collections.abc import Iterable
 
-from zincwell.dispatch._jobs import Job, Task
+from zincwell.dispatch._jobs import Task
 from zincwell.dispatch._types import Step
 from zincwell.dispatch._worker_session import WorkerSession
 
@@ -50,12 +50,6 @@
                 best, best_rank = session, rank
         return best
 
-    def have_room_for(self, job: Job, *, tasks: int) -> bool:
-        """Return whether this many tasks of a job have room at once."""
-        if tasks <= 1:
-            return True
-        return self.count_slots(step=job.widest_ready_step(), limit=tasks) >= tasks
-
     def discard_widest(self) -> None:
         """Remove the worker with the most free capacity."""
         self._sessions.pop()
--- a/zincwell/dispatch/_queue.py
+++ b/zincwell/dispatch/_queue.py
@@ -43,12 +43,8 @@
         """Insert a job, or move a queued one to its current position."""
         self._insert(job, self._started if _has_precedence(job, now) else self._unstarted)
 
-    def defer(self, job: Job, *, min_starts: int = 1) -> None:
-        """Move a job that will be late behind all others.
-
-        :param min_starts: it may start only if this many of its tasks can start at once.
-        """
-        job.min_starts = min_starts
+    def defer(self, job: Job) -> None:
+        """Move a job that will be late behind all others."""
         self._insert(job, self._deferred)
 
     def is_deferred(self, job: Job) -> bool:
--- a/zincwell/dispatch/_scheduler.py
+++ b/zincwell/dispatch/_scheduler.py
@@ -103,8 +103,6 @@
                 continue
             if self._may_have_orphaned_runs(job, now):
                 continue
-            if not job.started and not workers.have_room_for(job, tasks=job.min_starts):
-                continue
             if isinstance(workers, UnevenWorkers):
                 self._place_job_by_objective(job, workers, now)
             else:
--- a/zincwell/dispatch/_speed_placement.py
+++ b/zincwell/dispatch/_speed_placement.py
@@ -56,12 +56,6 @@
         """Return the largest free capacity of any worker, in thousandths of a core."""
         return self._most_free_cpu
 
-    def have_room_for(self, job: Job, *, tasks: int) -> bool:
-        """Return whether this many tasks of a job have room at once."""
-        if tasks <= 1:
-            return True
-        return sum(self.count_slots(step=job.widest_ready_step(), limit=tasks)) >= tasks
-
     def count_slots(self, *, step: Step, limit: int) -> list[int]:
         """Return for how many tasks of a step each class has room now, at most ``limit``."""
         return [workers.count_slots(step=step, limit=limit) for workers in self._workers_by_class]
--- a/zincwell/dispatch/decisions/_admission.py
+++ b/zincwell/dispatch/decisions/_admission.py
@@ -10,9 +10,8 @@
 * A job that can't end while a late answer is still useful, even on the capacity that the others
   leave, is refused at once, with a retry time.
 
-Where callers state how long they wait, a late job is deferred at any load as long as it would end
-before its caller's timeout on the capacity that the others leave. A job that would have ended 30 ms
-after its objective was refused before, although its caller waited for another second.
+Where callers state how long they wait, a job that would end after its caller has stopped waiting is
+refused at once as well.
 """
 
 from __future__ import annotations
@@ -29,18 +28,9 @@
 # and above full load because a second of arrivals does not give a more precise load.
 LOW_LOAD = 0.9
 HIGH_LOAD = 1.1
-# At high load, a job that can be deferred counts as in time if it is forecast to end within this
-# share of its objective. Run times differ from their estimates, and many jobs that are forecast to
-# end just in time end late, on capacity that others would have used in time. A share of 0.8 served
-# 5% fewer jobs of the widest route in replays of twice the capacity.
-IN_TIME_SHARE = 0.9
 # A job must be forecast to end within this share of its caller's timeout, since the answer takes
 # time to reach the caller and run times differ from their estimates.
 MAX_TIMEOUT_SHARE = 0.9
-# Jobs in time that arrive later overtake a deferred job. At high load its wait is therefore divided
-# by this share of the capacity, which they are assumed to leave. With a larger share more jobs wait
-# in vain, with a smaller one more are refused that could be served.
-MIN_CAPACITY_LEFT = 0.4
 # A step that needs more than this share of all cores runs in waves, and its objective counts them.
 MAX_WAVE_SHARE = 0.25
 # A caller that retries sooner finds the same queue.
@@ -69,40 +59,25 @@
     return max(1, math.ceil(tasks * cpu / (MAX_WAVE_SHARE * pool_cpu)))
 
 
-def count_min_starts(*, tasks: int, pool_tasks: int) -> int:
-    """Return how many tasks of a step a deferred job must be able to start at once.
+def meets_objective(*, end_age_s: float, objective_s: float) -> bool:
+    """Return whether a job that ends at the given age keeps its place in the queue."""
+    return end_age_s <= objective_s
 
-    A step that is wide for the workers starts a wave at once, because they are never all free.
 
-    :param pool_tasks: number of such tasks that the workers would run if they were empty.
-    """
-    return max(1, min(tasks, int(MAX_WAVE_SHARE * pool_tasks)))
-
-
-def meets_objective(*, end_age_s: float, objective_s: float, load: float | None = None) -> bool:
-    """Return whether a job that ends at the given age keeps its place in the queue.
-
-    :param load: offered load if the job can be deferred at any load, because its caller's timeout
-        is known.
-    """
-    headroom = 1.0 if load is None else _headroom(load)
-    return end_age_s <= objective_s * (IN_TIME_SHARE + headroom * (1 - IN_TIME_SHARE))
-
-
-def judge_late_job(*, end_age_s: float, objective_s: float, load: float) -> LateJobDecision:
+def judge_late_job(
+    *, end_age_s: float, objective_s: float, load: float, timeout_s: float = 0.0
+) -> LateJobDecision:
     """Decide whether a job that waits behind all jobs in time is deferred or refused.
 
     :param load: offered load as a share of the workers' capacity.
+    :param timeout_s: how long the caller waits; 0 if unknown.
     """
-    latest_s = objective_s * (1 + _headroom(load) * (ANSWER_EXPIRY_OBJECTIVES - 1))
+    headroom = min(max((HIGH_LOAD - load) / (HIGH_LOAD - LOW_LOAD), 0.0), 1.0)
+    latest_s = objective_s * (1 + headroom * (ANSWER_EXPIRY_OBJECTIVES - 1))
+    latest_s = min(latest_s, latest_useful_age_s(objective_s=objective_s, timeout_s=timeout_s))
     return LateJobDecision.DEFER if end_age_s <= latest_s else LateJobDecision.REFUSE
 
 
-def _headroom(load: float) -> float:
-    """Return 1 at a load up to the low one, 0 from the high one on, and values between."""
-    return min(max((HIGH_LOAD - load) / (HIGH_LOAD - LOW_LOAD), 0.0), 1.0)
-
-
 def latest_useful_age_s(*, objective_s: float, timeout_s: float) -> float:
     """Return the age up to which a job should be forecast to end.
 
@@ -112,21 +87,6 @@
     return min(expiry_s, timeout_s * MAX_TIMEOUT_SHARE) if timeout_s else expiry_s
 
 
-def judge_late_job_before_timeout(
-    *, end_age_s: float, wait_s: float, objective_s: float, timeout_s: float, load: float
-) -> LateJobDecision:
-    """Decide the same for a job whose caller has said how long it waits.
-
-    :param end_age_s: age of the job at its end if no job overtakes it.
-    :param wait_s: part of that age that it still waits for capacity.
-    :param load: offered load as a share of the workers' capacity.
-    """
-    left = MIN_CAPACITY_LEFT + _headroom(load) * (1 - MIN_CAPACITY_LEFT)
-    end_age_s += wait_s / left - wait_s
-    latest_s = latest_useful_age_s(objective_s=objective_s, timeout_s=timeout_s)
-    return LateJobDecision.DEFER if end_age_s <= latest_s else LateJobDecision.REFUSE
-
-
 class RetrySchedule:
     """Assigns retry times in the order of refusals, for callers that state their timeouts.
 
--- a/zincwell/dispatch/decisions/_cells.py
+++ b/zincwell/dispatch/decisions/_cells.py
@@ -23,9 +23,10 @@
 # 0.8 ms of processor time each; an owner that is busy for more than 0.4 of its time delays the
 # starts of short tasks.
 WORKERS_PER_CORE = 64
-# A domain with at least this many workers is a cell of its own. Hardly any job has more tasks, so
-# an idle domain starts all tasks of a job at once without workers of other domains.
-MIN_OWN_CELL_WORKERS = 32
+# A domain with at least this many workers is a cell of its own. The widest jobs have 32 tasks, and
+# a worker runs at least two at once, so such a job takes less than a third of the cell. In smaller
+# cells, wide jobs wait for several rounds of short tasks while others are refused.
+MIN_OWN_CELL_WORKERS = 56
 # An owner in the domain needs a successor there.
 MIN_OWN_CELL_ENTRIES = 2
 # A part of a domain needs an owner and two successors that can take over from it.
