--- a/zincwell/dispatch/_speed_placement.py
+++ b/zincwell/dispatch/_speed_placement.py
@@ -27,13 +27,13 @@
 # The share of CPU in use is sampled, and the ends of runs are forecast, at most this often.
 SAMPLE_INTERVAL_S = 0.02
 # At most this many jobs are evaluated for waiting in one placement; the others start without. Under
-# overload hundreds of jobs wait. With 32, the replay served no more jobs in time.
+# overload hundreds of jobs wait.
 MAX_WAIT_EVALUATIONS = 4
 # A run that was told to stop has ended after this many seconds.
 STOP_DURATION_S = 0.05
 # At most this share of the workers is reserved for wide tasks in one placement, each for a job that
-# has waited for longer than this share of its objective. Without, a tenth of the short jobs of 9.6
-# cores and more ended in time at one and a half times the capacity; with it, a fifth.
+# has waited for longer than this share of its objective. Without reservations, narrow tasks take
+# each part of a worker that becomes free, and wide ones wait until they are late.
 MAX_RESERVED_SHARE = 0.08
 MIN_RESERVATION_AGE = 0.2
 
