--- a/zincwell/dispatch/decisions/_worker_choice.py
+++ b/zincwell/dispatch/decisions/_worker_choice.py
@@ -39,7 +39,8 @@
 ROOM_TIME_CONSTANT_S = 0.25
 
 # Weight of the newest wait in the success rate of waits, and the time constant with which it
-# recovers without any. A shorter one forgets failed waits while the overload that caused them lasts.
+# recovers without any. A shorter one forgets failed waits while the overload that caused them
+# lasts.
 WAIT_WEIGHT = 1 / 16
 WAIT_RECOVERY_S = 4.0
 
