Give each simulated entry process an incarnation of its own

The simulated platform counted processes by their registrations in the store. An entry that was killed before the store had its registration shared its incarnation with the next process of its name, so a stand-in kept the jobs of the killed one, and their callers' retries ran on both sides of a partition. Real processes draw random incarnations. Processes are now counted when they start.

--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -300,6 +300,8 @@
         self.reads: Counter[tuple[str, Topic]] = Counter()
         self.deliveries: Counter[str] = Counter()
         self.copies: Counter[str] = Counter()
+        # Number of processes started so far under the name of each entry.
+        self.lives: Counter[str] = Counter()
 
     # -- set-up -----------------------------------------------------------------------------
 
@@ -394,7 +396,10 @@
             self.evacuated_at_by_zone.pop(zone, None)
 
     def add_node(self, name: str, zone: str, *, cores: float = 1.0) -> Node:
-        life = sum(1 for key, _ in self.topics[Topic.ENTRIES] if key == f"entry/{name}")
+        # Not counted by registrations: a process that the store never heard of must not share its
+        # incarnation with the next one, or owners keep the jobs of the process that was killed.
+        life = self.lives[name]
+        self.lives[name] += 1
         me = EntryInfo(
             name=name,
             address=name,
