Order a task once on a worker that has not answered its order, and keep the harsher series

A series that delays all orders to a worker by up to 3 s and restarts it within that time shows concurrent runs of a task: a worker that answered polls but no start orders got up to 15 orders of one task, and its next incarnation executed them. On workers that send their start time, a task now waits for another worker while an order of it is in doubt, unless no other worker in use is large enough. Not mended: an order made void at the earlier incarnation that reaches the next one before the stop order. Known failures that ran are now also printed in the terminal summary, since -q hides the header.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -29,6 +29,18 @@
     return [f"known red: {test}: {reason}" for test, reason in read_known_failures().items()]
 
 
+def pytest_terminal_summary(terminalreporter: pytest.TerminalReporter) -> None:
+    """Print the known failures among the tests of this run, also if the header is off (``-q``)."""
+    reasons = read_known_failures()
+    # A test that fails in a fixture after its end is in both lists.
+    failed = {report.nodeid for report in terminalreporter.stats.get("xfailed", [])}
+    passed = {report.nodeid for report in terminalreporter.stats.get("xpassed", [])} - failed
+    for test, reason in reasons.items():
+        if test in failed or test in passed:
+            outcome = "failed" if test in failed else "passed"
+            terminalreporter.write_line(f"known red, {outcome}: {test}: {reason}")
+
+
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Mark exactly the listed tests as expected failures."""
     reasons = read_known_failures()
--- a/tests/test_pool_faults.py
+++ b/tests/test_pool_faults.py
@@ -460,3 +460,54 @@
     series = RestartFaultSeries(world, seed, USUAL_PAUSE_S)
     await series.inject(faults=12)
     assert_that(series.restarts, GreaterThan(0))
+
+
+class LateOrderSeries(RestartFaultSeries):
+    """A harsher series: a worker gets all orders late for a while, and restarts.
+
+    The owner makes orders of that time void at the earlier incarnation and starts their tasks
+    elsewhere, but the next incarnation may still receive them.
+
+    :param window_s: maximum time between the first late order and the restart.
+    """
+
+    def __init__(self, world: World, seed: int, *, window_s: float) -> None:
+        super().__init__(world, seed, USUAL_PAUSE_S)
+        self._window_s = window_s
+
+    async def _fault(self) -> None:
+        if self.random.random() < 0.5:
+            worker_id = self.random.choice(sorted(self.world.workers))
+            if self.random.random() < 0.7:
+                self.world.drop_starts = {worker_id}
+                self.world.late_start_s = {worker_id: self.random.uniform(0.05, 3)}
+                await asyncio.sleep(self.random.uniform(0.0, self._window_s))
+                self.world.drop_starts = set()
+            self._restart_worker(worker_id)
+            return
+        await FaultSeries._fault(self)
+
+
+# Seeds that had concurrent runs of a task, and some that never had any. 20, 25 and 28 had them in
+# a series of an earlier build that is not in the history. Of those here, 20 with 0.05 s had them
+# while restarted entries could share an incarnation in the simulated platform; 1, 8, 10 and 21 with
+# 3 s while a task was ordered again on a worker that had not answered its last order.
+LATE_ORDER_SEEDS = [
+    *((seed, 0.05) for seed in (20, 25, 28)),
+    *((seed, 0.5) for seed in (14, 20, 25, 28)),
+    *((seed, 1.0) for seed in (9, 20, 25, 28)),
+    *((seed, 3.0) for seed in (1, 2, 3, 4, 7, 8, 10, 18, 20, 21, 25, 28, 31)),
+]
+
+
+@pytest.mark.parametrize(("seed", "window_s"), LATE_ORDER_SEEDS)
+async def test_late_orders_to_restarting_workers_violate_no_guarantee(
+    world: World, seed: int, window_s: float
+):
+    # Guards against concurrent runs: a restarted worker executes an order that was made void at
+    # its earlier incarnation, while the task runs elsewhere.
+    world.sends_born = True
+    await world.open()
+    series = LateOrderSeries(world, seed, window_s=window_s)
+    await series.inject(faults=12)
+    assert_that(series.restarts, GreaterThan(0))
--- a/tests/test_scheduling.py
+++ b/tests/test_scheduling.py
@@ -118,7 +118,12 @@
     """Return a stub of a worker session with the attributes that placement reads."""
     info = SimpleNamespace(id=name, labels=[rack])
     return SimpleNamespace(
-        info=info, free_cpu=free_cpu, free_memory=free_memory, free_gpu=0, suspect=False
+        info=info,
+        free_cpu=free_cpu,
+        free_memory=free_memory,
+        free_gpu=0,
+        suspect=False,
+        must_not_reorder=lambda task, step: False,
     )
 
 
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -310,6 +310,49 @@
     assert_that(starts_of(world)[0] == worker.info.id, Is(False))
 
 
+async def fill(world: World, worker: FakeWorker) -> asyncio.Task:
+    """Run tasks of 0.5 s on a worker until it has no room."""
+    for session in owner_of(world)._workers.sessions_by_id.values():
+        if session.info.id != worker.info.id:
+            session.pause_until = world.loop.time() + 0.02
+    job = submit(world, other_than(world, *world.owners()), "other", count=2, run_ms=500)
+    await asyncio.sleep(0.03)
+    assert_that(worker.runs, HasLength(2))
+    return job
+
+
+@pytest.mark.parametrize("sends_born", [True, False])
+async def test_a_task_is_not_ordered_again_where_an_order_is_in_doubt(
+    world: World, sends_born: bool
+):
+    # Guards against concurrent runs: a restarted worker executes each late order, so two orders of
+    # a task run it twice on this worker alone. Workers that send no start time are used as before.
+    world.sends_born = sends_born
+    await world.open(zones="a", workers=2)
+    worker = world.workers["w-a1"]
+    other = await fill(world, world.workers["w-a2"])
+    world.drop_starts.add(worker.info.id)
+    job = submit(world, other_than(world, *world.owners()), "job", count=1, run_ms=60)
+    await asyncio.sleep(0.3)
+    run_numbers = owner_of(world).jobs.jobs_by_id["job"].task(TASK).runs
+    assert_that(run_numbers, Equals(1) if sends_born else GreaterThan(3))
+    if sends_born:
+        await finish([job, other])
+        assert_that(starts_of(world), Equals(["w-a2"]))
+
+
+async def test_a_task_of_the_only_worker_is_ordered_again(world: World):
+    # Guards against a task that waits 12 s after one lost order where no other worker is in use.
+    await open_world(world, zones="a", workers=1)
+    worker = world.workers["w-a1"]
+    world.drop_starts.add(worker.info.id)
+    job = submit(world, other_than(world, *world.owners()), "job", count=1, run_ms=60)
+    await asyncio.sleep(0.1)
+    world.drop_starts.clear()
+    await finish([job], within_s=0.3)
+    assert_that(starts_of(world), Equals(["w-a1"]))
+
+
 @pytest.mark.parametrize("run_ms", [30, 2000])
 async def test_a_run_of_a_late_order_at_the_new_incarnation_is_kept(world: World, run_ms: int):
     # Guards against a second start of a task that the new incarnation runs already, or has ended
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -19,10 +19,19 @@
 from zincwell.dispatch._metrics import Metrics
 from zincwell.dispatch._orphaned_runs import OrphanedRunStopper
 from zincwell.dispatch._overload import OverloadControl
+from zincwell.dispatch._placement import could_ever_fit
 from zincwell.dispatch._run_times import JobRunTimeEstimator
 from zincwell.dispatch._runs import Run, RunIndex, RunOutcome
 from zincwell.dispatch._scheduler import Scheduler
-from zincwell.dispatch._types import JobRequest, Limits, Outcome, TaskId, Verdict, WorkerInfo
+from zincwell.dispatch._types import (
+    JobRequest,
+    Limits,
+    Outcome,
+    Step,
+    TaskId,
+    Verdict,
+    WorkerInfo,
+)
 from zincwell.dispatch._worker_session import WorkerObserver, WorkerSession
 from zincwell.dispatch._worker_set import WorkerSet
 from zincwell.dispatch.decisions import (
@@ -505,6 +514,17 @@
         job.mark_waiting(task)
         self._enqueue(job)
 
+    def can_run_elsewhere(self, session: WorkerSession, step: Step) -> bool:
+        """Return whether another worker in use is large enough for a task of a step."""
+        now = self._loop.time()
+        return any(
+            other is not session
+            and other.info.service == session.info.service
+            and other.can_serve(now)
+            and could_ever_fit(other, step=step)
+            for other in self._workers.sessions_by_id.values()
+        )
+
     def min_poll_interval_s(self) -> float:
         """Return the shortest interval in seconds between polls of one worker."""
         return min_poll_interval_s(workers=len(self._workers.sessions_by_id), cores=self._cores)
--- a/zincwell/dispatch/_scheduler.py
+++ b/zincwell/dispatch/_scheduler.py
@@ -150,6 +150,9 @@
                     continue
                 session = workers.find(step=step, task=task)
                 if session is None:
+                    if task.avoided_workers:
+                        # There may be room that only this task must not use.
+                        continue
                     break
                 self._start(job, step, task, session, now)
                 workers.note_start(session)
@@ -167,15 +170,22 @@
             choice = placement.choose_classes(
                 job, number, tasks=len(waiting), workers=workers, now=now
             )
+            left = 0
             for index, task in enumerate(waiting):
                 session = workers.find(step=step, task=task, classes=choice.classes)
                 if session is None:
-                    placement.note_waiting(job, step, choice, tasks=len(waiting) - index)
-                    self._schedule_retry()
+                    if task.avoided_workers:
+                        # There may be room that only this task must not use.
+                        left += 1
+                        continue
+                    left += len(waiting) - index
                     break
                 placement.note_start(job, number, session, now=now)
                 self._start(job, step, task, session, now)
                 workers.note_start(session)
+            if left:
+                placement.note_waiting(job, step, choice, tasks=left)
+                self._schedule_retry()
 
     def _schedule_retry(self) -> None:
         if not self._retry_scheduled:
--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -8,7 +8,7 @@
 
 from zincwell.dispatch._background import BackgroundTasks
 from zincwell.dispatch._runs import Run, RunOutcome
-from zincwell.dispatch._types import Limits, TaskId, WorkerInfo
+from zincwell.dispatch._types import Limits, Step, TaskId, WorkerInfo
 from zincwell.dispatch._worker_calls import HOLD_WAIT_S, WorkerCalls, WorkerRebornError
 from zincwell.dispatch.decisions import (
     MAX_ANSWER_TIMEOUT_S,
@@ -69,6 +69,10 @@
     def on_run_ended(self, session: WorkerSession, run: Run, outcome: RunOutcome) -> None:
         """Handle the end of a run on the worker."""
 
+    @abc.abstractmethod
+    def can_run_elsewhere(self, session: WorkerSession, step: Step) -> bool:
+        """Return whether another worker in use is large enough for a task of a step."""
+
     @abc.abstractmethod
     def min_poll_interval_s(self) -> float:
         """Return the shortest interval in seconds between polls of one worker."""
@@ -383,6 +387,19 @@
         if self._calls.born_ms:
             orders[run.task, run.number] = run.ordered_at
 
+    def must_not_reorder(self, task: TaskId, step: Step) -> bool:
+        """Return whether a task has to wait for another worker, after an order without an answer.
+
+        If this worker restarts, the next incarnation may execute each order that is still under
+        way, so that a second order could run the task twice at the same time. Without another
+        worker in use that is large enough, the task is ordered here again.
+        """
+        in_doubt = any(
+            ordered == task and self._calls.may_start_late(at)
+            for (ordered, _), at in self._unanswered_orders.items()
+        )
+        return in_doubt and self._observer.can_run_elsewhere(self, step)
+
     def _has_orders_in_flight(self) -> bool:
         return any(self._calls.may_start_late(at) for at in self._unanswered_orders.values())
 
