--- a/tests/test_overload_replay.py
+++ b/tests/test_overload_replay.py
@@ -15,7 +15,6 @@
 
 from tests.overload_replay import ROUTES, EvenSpeeds, Replay, ReplayResult, percentile
 from zincwell.dispatch._jobs import Job
-from zincwell.dispatch._runs import Run
 from zincwell.dispatch._types import JobRequest, Step
 from zincwell.dispatch.decisions import WorkerSpeeds
 
@@ -182,18 +181,3 @@
 
     informed, uninformed = start_errors_s(knows_speeds=True), start_errors_s(knows_speeds=False)
     assert_that(abs(sum(informed)), LessThan(abs(sum(uninformed)) / 2))
-
-
-def _block(worker) -> Run:
-    """Occupy all cores of a worker."""
-    run = Run(
-        task=f"blocked-{worker.info.id}",
-        number=1,
-        cpu=worker.info.cpu,
-        memory_mb=0,
-        gpu=0,
-        ordered_at=0.0,
-    )
-    worker.runs[run.task] = run
-    worker.free_cpu = 0
-    return run
--- a/tests/test_pool_faults.py
+++ b/tests/test_pool_faults.py
@@ -488,10 +488,7 @@
         await FaultSeries._fault(self)
 
 
-# Seeds that had concurrent runs of a task, and some that never had any. 20, 25 and 28 had them in
-# a series of an earlier build that is not in the history. Of those here, 20 with 0.05 s had them
-# while restarted entries could share an incarnation in the simulated platform; 1, 8, 10 and 21 with
-# 3 s while a task was ordered again on a worker that had not answered its last order.
+# Seeds that have had concurrent runs of a task (causes in docs/found-seeds.md), and some without.
 LATE_ORDER_SEEDS = [
     *((seed, 0.05) for seed in (20, 25, 28)),
     *((seed, 0.5) for seed in (14, 20, 25, 28)),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -69,7 +69,7 @@
     result = play_day(DayPlan(seed=seed, faults=16, kinds=kinds), tmp_path)
     assert_that(result.broken, Equals([]))
     assert_that(result.answers_by_status["200"], GreaterThan(10))
-    restarts = sum(path.read_text().count("worker_reborn") for path in tmp_path.glob("*.log"))
+    restarts = sum(path.read_text().count("worker_restarted") for path in tmp_path.glob("*.log"))
     assert_that(restarts, GreaterThan(0))
 
 
--- a/tests/test_worker_incarnations.py
+++ b/tests/test_worker_incarnations.py
@@ -19,7 +19,7 @@
 from zincwell.dispatch._messages import WorkerListSnapshot
 from zincwell.dispatch._owner import Owner
 from zincwell.dispatch._types import TaskId, Verdict, WorkerInfo
-from zincwell.dispatch._worker_calls import WorkerCalls, WorkerRebornError
+from zincwell.dispatch._worker_calls import WorkerCalls, WorkerRestartedError
 from zincwell.dispatch._worker_session import WorkerSession
 from zincwell.dispatch.decisions import Sighting, compare_incarnation, is_record_missing
 from zincwell.dispatch.ports import HoldReply, WorkerCallError, WorkerClient
@@ -58,7 +58,7 @@
         value
         for node in world.nodes.values()
         for (name, _), value in node._metrics._counters.items()
-        if name == "workers_reborn"
+        if name == "workers_restarted"
     )
 
 
@@ -146,7 +146,7 @@
         await calls.hold(renew_leases=False)
     await calls.hold(renew_leases=False)
     await calls.hold(renew_leases=False)
-    with pytest.raises(WorkerRebornError) as raised:
+    with pytest.raises(WorkerRestartedError) as raised:
         await calls.hold(renew_leases=False)
     assert_that(raised.value.born_ms, Equals(6))
 
--- a/zincwell/dispatch/_caller_timeouts.py
+++ b/zincwell/dispatch/_caller_timeouts.py
@@ -1,10 +1,10 @@
-"""By when a job is answered so that its caller, which states how long it waits, gets the answer."""
+"""When entries and owners must answer a job so that its caller gets the answer in time."""
 
 from __future__ import annotations
 
 from zincwell.dispatch._types import JobRequest
 
-# Share of the caller's timeout that is reserved for the way of the answer to the caller: 37 ms of
+# Share of the caller's timeout that is reserved for sending the answer to the caller: 37 ms of
 # 1.5 s.
 ENTRY_MARGIN_SHARE = 1 / 40
 # The same for the way from the owner over the entry to the caller. It includes the interval of the
--- a/zincwell/dispatch/_election.py
+++ b/zincwell/dispatch/_election.py
@@ -54,10 +54,10 @@
 # A member of the claim becomes the stand-in after this time without contact to the owner, if the
 # store is unreachable as well.
 STAND_IN_AFTER_S = 0.7
-# The same in a pool of several cells. Every owner there ends the jobs of a lost entry before its
-# callers retry them elsewhere, so a job that was never sent to an owner runs nowhere else. In a
-# single cell such a retry may meet a run of the owner, which ends up to 0.9 s after the start of
-# the partition, and the stand-in must not start earlier.
+# A stand-in may become active after this time in a pool of several cells. Every owner there ends
+# the jobs of a lost entry before its callers retry them elsewhere, so a job that was never sent to
+# an owner runs nowhere else. In a single cell such a retry may meet a run of the owner, which ends
+# up to 0.9 s after the start of the partition, and the stand-in must not start earlier.
 EARLY_STAND_IN_AFTER_S = OWNER_TIMEOUT_S
 # Time without contact after which the store is checked for such an early stand-in: one poll after
 # the first probes, which are answered by then.
@@ -69,8 +69,8 @@
 # every 0.18 s.
 EARLY_RECEIPT_AGE_S = 0.2
 # The owner that is cut off may request leases until this time after the last contact: it detects
-# the partition after 0.7 s and stops its runs within 0.2 s. Stand-ins became active no earlier
-# before they had a shorter timeout, so jobs that may have been started wait as long as then.
+# the partition after 0.7 s and stops its runs within 0.2 s; 0.1 s is a margin. A stand-in starts no
+# job that the owner may have started before leases requested then have expired.
 OWNER_ACTIVE_AFTER_CONTACT_S = 1.0
 # Number of entries of each failure domain that a claim lists. A domain that loses all of them while
 # it is cut off has no stand-in until the partition ends.
--- a/zincwell/dispatch/_health.py
+++ b/zincwell/dispatch/_health.py
@@ -223,7 +223,7 @@
         return ratio if is_slow_run(ratio) else None
 
     def _tolerance(self, session: WorkerSession) -> float:
-        """Return by which factor a worker's lasting slowdown may be higher than it is believed.
+        """Return the factor by which a worker's lasting slowdown may exceed its estimate.
 
         A new owner does not know the kinds of workers. In its first second, most workers of a slow
         kind would be quarantined.
--- a/zincwell/dispatch/_job_registry.py
+++ b/zincwell/dispatch/_job_registry.py
@@ -80,7 +80,7 @@
         job = self.jobs_by_id.get(request.id)
         if job is not None:
             log.info("job_attached job=%s entry=%s", request.id, entry)
-            self._note_claim(job, request, entry=entry, requested_at=requested_at)
+            self._note_submission(job, request, entry=entry, requested_at=requested_at)
             return None
         job = Job(
             request=request,
@@ -90,10 +90,10 @@
         )
         self.jobs_by_id[request.id] = job
         job.answer_by = -math.inf
-        self._note_claim(job, request, entry=entry, requested_at=requested_at)
+        self._note_submission(job, request, entry=entry, requested_at=requested_at)
         return job
 
-    def _note_claim(
+    def _note_submission(
         self, job: Job, request: JobRequest, *, entry: str, requested_at: float
     ) -> None:
         """Record that an entry has submitted the job, and how long its caller waits."""
--- a/zincwell/dispatch/_messages.py
+++ b/zincwell/dispatch/_messages.py
@@ -27,8 +27,8 @@
 
     Sent at the cancellation, and again to each later owner of the cell.
 
-    :param age_s: time since the cancellation when the first message of the envelope was queued, in
-        seconds; negative if it came later.
+    :param age_s: time from the cancellation to the queueing of the envelope's first message, in
+        seconds; negative if the cancellation came after that. See `Envelope.waited_s`.
     :param by_request: whether a caller asked for it, which ends the job for all entries.
     """
 
--- a/zincwell/dispatch/_overload.py
+++ b/zincwell/dispatch/_overload.py
@@ -61,6 +61,7 @@
 
     :param wait_s: how long its last task would still wait for capacity.
     :param retry_after_s: when its caller should retry, in seconds from now.
+    :param cause: whether the job would be late even without waiting.
     """
 
     job: Job
@@ -188,7 +189,7 @@
         """Choose the retry times of refused jobs, given with wait and cause."""
         capacity = workers.capacity(self._max_utilization, now)
         refusals = []
-        for job, wait_s, cause in sorted(refused, key=lambda entry: entry[0].arrived_at):
+        for job, wait_s, cause in sorted(refused, key=lambda item: item[0].arrived_at):
             if job.request.timeout_ms:
                 schedule = self._retries_by_service.setdefault(job.request.service, RetrySchedule())
                 work_s = job.request.work() / capacity if capacity else 0.0
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -160,7 +160,7 @@
         self._workers = WorkerSet(
             is_assigned=self._is_assigned,
             make_session=self._make_session,
-            on_reborn=self._forget_worker,
+            on_restarted=self._forget_worker,
         )
         self._orphans = OrphanedRunStopper(
             sessions_by_id=self._workers.sessions_by_id, is_cancelled=self.jobs.is_cancelled
@@ -255,13 +255,13 @@
             renew_only_adopted=self._renew_only_adopted,
         )
 
-    def on_reborn(self, session: WorkerSession, born_ms: int) -> None:
+    def on_newer_incarnation(self, session: WorkerSession, born_ms: int) -> None:
         """Open a session with the newer incarnation of a worker that has answered."""
         self._workers.replace(session, info=session.info, born_ms=born_ms)
 
     def _forget_worker(self, worker_id: str) -> None:
         """Forget the learned speed of a worker that has restarted, as its kind may differ."""
-        self._metrics.count("workers_reborn")
+        self._metrics.count("workers_restarted")
         self._run_times.forget(worker_id)
 
     def _is_assigned(self, info: WorkerInfo) -> bool:
--- a/zincwell/dispatch/_pending_jobs.py
+++ b/zincwell/dispatch/_pending_jobs.py
@@ -30,7 +30,7 @@
 HEARD_WITHIN_S = 0.3
 # A job that was not sent to an owner that is silent for this long may go to another cell. Owners
 # send reports every 0.2 s, so the reports of other cells are up to 0.3 s old in normal operation.
-SUSPECT_AFTER_S = 0.45
+REROUTE_UNSENT_AFTER_S = 0.45
 # Advertised to callers of jobs that are given up.
 RETRY_AFTER_S = 1.0
 # Maximum number of other cells that a refused job is submitted to, one after the other.
@@ -370,8 +370,8 @@
 
     def _give_up(self, pending: PendingJob, reason: str) -> None:
         """Answer the callers of a job without its owner, and cancel the job if it was sent."""
-        # An unreachable owner that the job was sent to may have started it.
         self._withdraw_if_unsent(pending)
+        # An unreachable owner that the job was sent to may have started it.
         verdict = Verdict.UNKNOWN if pending.submitted_fence else Verdict.REFUSED
         outcome = Outcome(verdict=verdict, reason=reason, retry_after_s=RETRY_AFTER_S)
         self.resolve(pending.request.id, outcome)
@@ -420,7 +420,7 @@
         If there is no better cell, the jobs are submitted again once an owner is heard.
         """
         cells = {pending.cell for pending in self._pending_by_id.values()}
-        silent = {cell for cell in cells if self._channel.silence_s(cell) > SUSPECT_AFTER_S}
+        silent = {cell for cell in cells if self._channel.silence_s(cell) > REROUTE_UNSENT_AFTER_S}
         if silent and len(self._channel.cells()) > 1:
             for cell in silent:
                 self.note_unsent(self._channel.withdraw_blocked_jobs(cell))
--- a/zincwell/dispatch/_runs.py
+++ b/zincwell/dispatch/_runs.py
@@ -99,6 +99,8 @@
         self.voided_at = None
         self.started_ms = None
         self.first_percent = self.percent = 0.0
+        self.recent_rate = self.best_rate = None
+        self.excused = False
 
     def note_progress(self, clock_ms: int, *, percent: float) -> None:
         """Record the progress of the run."""
--- a/zincwell/dispatch/_speed_placement.py
+++ b/zincwell/dispatch/_speed_placement.py
@@ -31,11 +31,11 @@
 MAX_WAIT_EVALUATIONS = 4
 # A run that was told to stop has ended after this many seconds.
 STOP_DURATION_S = 0.05
-# At most this share of the workers is reserved for wide tasks in one placement, each for a job that
-# has waited for longer than this share of its objective. Without reservations, narrow tasks take
-# each part of a worker that becomes free, and wide ones wait until they are late.
+# At most this share of the workers is left out for wide tasks in one placement. Otherwise narrow
+# tasks take each part of a worker that becomes free, and wide ones wait until they are late.
 MAX_RESERVED_SHARE = 0.08
-MIN_RESERVATION_AGE = 0.2
+# A job may reserve a worker once it is older than this share of its objective.
+MIN_RESERVATION_AGE_SHARE = 0.2
 
 
 class UnevenWorkers:
@@ -143,7 +143,7 @@
         self._room = RoomGauge()
         self._grouped_at = self._sampled_at = self._forecast_at = float("-inf")
         self._ends: list[_RunEnd] = []
-        self._claimed: set[int] = set()
+        self._assigned_ends: set[int] = set()
         self._evaluations = self._reservations_left = 0
         self._tasks_waiting = False
         self._waits = WaitRecord()
@@ -164,7 +164,7 @@
 
         :param available: sessions with the workers that may start tasks.
         """
-        self._claimed.clear()
+        self._assigned_ends.clear()
         self._evaluations = 0
         self._reservations_left = math.ceil(MAX_RESERVED_SHARE * len(self.class_by_worker))
         is_new = self.is_uneven and any(s.info.id not in self.class_by_worker for s in available)
@@ -191,7 +191,7 @@
         """
         if not self._reservations_left or workers.most_free_cpu() <= 0:
             return
-        if now - job.arrived_at > MIN_RESERVATION_AGE * job.slo_s:
+        if now - job.arrived_at > MIN_RESERVATION_AGE_SHARE * job.slo_s:
             self._reservations_left -= 1
             workers.reserve_widest()
 
@@ -246,7 +246,9 @@
         """Assign the next ends of runs to tasks that wait, ahead of all jobs behind them."""
         job.left_waiting = True
         if self._evaluations <= MAX_WAIT_EVALUATIONS:
-            self._claimed.update(self._find_claims(choice.chances, cpu=step.cpu, tasks=tasks))
+            self._assigned_ends.update(
+                self._find_ends_with_room(choice.chances, cpu=step.cpu, tasks=tasks)
+            )
 
     def _sessions(self) -> list[WorkerSession]:
         sessions = self._sessions_by_id.values()
@@ -299,7 +301,7 @@
         if self._evaluations > MAX_WAIT_EVALUATIONS:
             return 0.0
         self._forecast_ends(now)
-        claims = self._find_claims(chances, cpu=job.request.steps[number].cpu, tasks=tasks)
+        claims = self._find_ends_with_room(chances, cpu=job.request.steps[number].cpu, tasks=tasks)
         if len(claims) < tasks:
             return 0.0
         ends = [self._ends[index] for index in claims]
@@ -317,13 +319,13 @@
             job.left_waiting = False
             self._waits.note(succeeded=has_room, now=now)
 
-    def _find_claims(self, chances: Sequence[float], *, cpu: int, tasks: int) -> list[int]:
+    def _find_ends_with_room(self, chances: Sequence[float], *, cpu: int, tasks: int) -> list[int]:
         """Return the next ends of runs that make room for tasks on workers in time."""
         claims: list[int] = []
         for index, end in enumerate(self._ends):
             if end.free_cpu < cpu or chances[end.speed_class] < LATE_CHANCE:
                 continue
-            if index not in self._claimed:
+            if index not in self._assigned_ends:
                 claims.append(index)
                 if len(claims) >= tasks:
                     break
--- a/zincwell/dispatch/_worker_calls.py
+++ b/zincwell/dispatch/_worker_calls.py
@@ -34,14 +34,14 @@
 MAX_ORDER_DELAY_S = 12.0
 
 
-class WorkerRebornError(ZincwellError):
+class WorkerRestartedError(ZincwellError):
     """A newer incarnation of the worker answered.
 
     :ivar born_ms: the incarnation that answered.
     """
 
     def __init__(self, born_ms: int) -> None:
-        super().__init__(f"born {born_ms}")
+        super().__init__(f"a newer incarnation of the worker answered: born_ms={born_ms}")
         self.born_ms = born_ms
 
 
@@ -138,7 +138,7 @@
         :param renew_leases: renew the leases of all runs on the worker.
         :param wait_s: how long the worker may wait for a run to end before it answers.
         :param answer_timeout_s: how long the answer may take beyond that.
-        :raises WorkerRebornError: if a newer incarnation answered.
+        :raises WorkerRestartedError: if a newer incarnation answered.
         """
         sent_at = self._loop.time()
         try:
@@ -174,7 +174,7 @@
     def _check_incarnation(self, reply: HoldReply) -> None:
         sighting = compare_incarnation(reply.born_ms, known_ms=self.born_ms)
         if sighting is Sighting.NEWER:
-            raise WorkerRebornError(reply.born_ms)
+            raise WorkerRestartedError(reply.born_ms)
         if sighting is Sighting.OLDER:
             raise WorkerCallError(f"hold: response of the earlier incarnation {reply.born_ms}")
         if self.born_ms is None:
--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -9,7 +9,7 @@
 from zincwell.dispatch._background import BackgroundTasks
 from zincwell.dispatch._runs import Run, RunOutcome
 from zincwell.dispatch._types import Limits, Step, TaskId, WorkerInfo
-from zincwell.dispatch._worker_calls import HOLD_WAIT_S, WorkerCalls, WorkerRebornError
+from zincwell.dispatch._worker_calls import HOLD_WAIT_S, WorkerCalls, WorkerRestartedError
 from zincwell.dispatch.decisions import (
     MAX_ANSWER_TIMEOUT_S,
     MAX_LOOP_LAG_S,
@@ -97,7 +97,7 @@
         """Handle a worker that has accepted a higher fencing token of another owner."""
 
     @abc.abstractmethod
-    def on_reborn(self, session: WorkerSession, born_ms: int) -> None:
+    def on_newer_incarnation(self, session: WorkerSession, born_ms: int) -> None:
         """Replace the session, since a newer incarnation of the worker has answered."""
 
 
@@ -190,7 +190,7 @@
         self.held = False
         self._tasks.close()
 
-    def succeed(self, previous: WorkerSession, *, born_ms: int) -> None:
+    def take_over_from(self, previous: WorkerSession, *, born_ms: int) -> None:
         """Take over from the session with the previous incarnation of the worker, and close it.
 
         The runs of the previous incarnation ended with it, but this one may have executed orders
@@ -332,8 +332,8 @@
             await self._hold(0.0)
         except WorkerFencedError:
             self._handle_fenced()
-        except WorkerRebornError as error:
-            self._observer.on_reborn(self, error.born_ms)
+        except WorkerRestartedError as error:
+            self._observer.on_newer_incarnation(self, error.born_ms)
         except (WorkerCallError, WorkerReplacedError) as error:
             # The open long poll meets the same error and handles the runs.
             log.info('hold_unanswered worker=%s error="%s"', self.info.id, error)
@@ -457,8 +457,8 @@
             await self._hold(0.0)
         except WorkerFencedError:
             self._handle_fenced()
-        except WorkerRebornError as error:
-            self._observer.on_reborn(self, error.born_ms)
+        except WorkerRestartedError as error:
+            self._observer.on_newer_incarnation(self, error.born_ms)
         except WorkerReplacedError:
             self._handle_replaced()
         except WorkerCallError as error:
@@ -534,8 +534,8 @@
                 self._handle_fenced()
             except WorkerReplacedError:
                 self._handle_replaced()
-            except WorkerRebornError as error:
-                self._observer.on_reborn(self, error.born_ms)
+            except WorkerRestartedError as error:
+                self._observer.on_newer_incarnation(self, error.born_ms)
                 return
             except WorkerCallError as error:
                 if failures == 0:
--- a/zincwell/dispatch/_worker_set.py
+++ b/zincwell/dispatch/_worker_set.py
@@ -18,7 +18,7 @@
 
     :param is_assigned: returns whether a worker belongs to the owner.
     :param make_session: creates a session with a worker without opening it.
-    :param on_reborn: called with the id of a worker that has restarted.
+    :param on_restarted: called with the id of a worker that has restarted.
     """
 
     def __init__(
@@ -26,7 +26,7 @@
         *,
         is_assigned: Callable[[WorkerInfo], bool],
         make_session: Callable[[WorkerInfo], WorkerSession],
-        on_reborn: Callable[[str], None],
+        on_restarted: Callable[[str], None],
     ) -> None:
         self.sessions_by_id: dict[str, WorkerSession] = {}
         self._is_assigned = is_assigned
@@ -34,7 +34,7 @@
         # Incremented with each change, for the validation of cached results about all workers.
         self.version = 0
         self._make_session = make_session
-        self._on_reborn = on_reborn
+        self._on_restarted = on_restarted
 
     def close(self) -> None:
         """Close all sessions."""
@@ -68,15 +68,15 @@
         if self.sessions_by_id.get(info.id) is not session:
             return
         log.warning(
-            "worker_reborn worker=%s born_ms=%d born_before_ms=%d runs=%d",
+            "worker_restarted worker=%s born_ms=%d born_before_ms=%d runs=%d",
             info.id,
             born_ms,
             session.born_ms or 0,
             len(session.runs),
         )
         successor = self._add_session(info)
-        successor.succeed(session, born_ms=born_ms)
-        self._on_reborn(info.id)
+        successor.take_over_from(session, born_ms=born_ms)
+        self._on_restarted(info.id)
         successor.open()
 
     def probe_unlisted(self, infos: Iterable[WorkerInfo]) -> None:
--- a/zincwell/dispatch/decisions/_admission.py
+++ b/zincwell/dispatch/decisions/_admission.py
@@ -107,7 +107,8 @@
     def reserve(self, *, now: float, queue_drain_s: float, work_s: float) -> float:
         """Reserve time for refused work and return the delay until its retry, in seconds.
 
-        Callers at the upper limit return at the intervals at which they were refused.
+        A delay longer than `MAX_RETRY_AFTER_S` is cut to that, so these callers return as far apart
+        as they were refused.
 
         :param queue_drain_s: time until the last job that waits now would start.
         :param work_s: time that the work takes on all workers.
--- a/zincwell/dispatch/decisions/_worker_speeds.py
+++ b/zincwell/dispatch/decisions/_worker_speeds.py
@@ -25,7 +25,7 @@
 # The part of it that the tasks of one step share, the error of the caller's estimate.
 SHARED_DEVIATION = 0.4
 # The part that differs between tasks of one step: 15%, and an allowance for the few long ones.
-TASK_DEVIATION = 0.2
+STEP_TASK_DEVIATION = 0.2
 # The same of the speeds of the workers of one kind, and of the speeds of kinds.
 WORKER_DEVIATION = 0.15
 KIND_DEVIATION = 0.5
@@ -240,6 +240,6 @@
     """
     if not logs:
         return 0.0, RUN_DEVIATION
-    precision = SHARED_DEVIATION**-2 + len(logs) * TASK_DEVIATION**-2
+    precision = SHARED_DEVIATION**-2 + len(logs) * STEP_TASK_DEVIATION**-2
     weight = 1 - SHARED_DEVIATION**-2 / precision
-    return weight * statistics.median_low(logs), math.hypot(precision**-0.5, TASK_DEVIATION)
+    return weight * statistics.median_low(logs), math.hypot(precision**-0.5, STEP_TASK_DEVIATION)
