--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -166,6 +166,7 @@
         for row in self.ended:
             if row.number <= acknowledged and row.kind is EndKind.DONE:
                 self.world.acknowledged_tasks.add(row.task)
+                self.world.acknowledged_at.setdefault(row.task, self.world.loop.time())
         self.ended = [row for row in self.ended if row.number > acknowledged]
         if wait_s and not self.ended:
             self.changed.clear()
@@ -274,9 +275,13 @@
         self.lose_start_answers: set[str] = set()
         # Tasks whose end "done" an owner has acknowledged to the worker.
         self.acknowledged_tasks: set[TaskId] = set()
-        # Starts of these tasks. An owner that is lost between the acknowledgement and its message
-        # to the entry causes them, so only tests without such a loss expect none.
+        # Starts of these tasks. A caller that calls again after it has lost its entry also causes
+        # them, so only tests without such a loss expect none.
         self.repeated_runs: list[str] = []
+        # Those of them for which a caller has waited since before the acknowledgement.
+        self.repeated_runs_of_callers: list[str] = []
+        self.acknowledged_at: dict[TaskId, float] = {}
+        self.called_at_by_job: dict[str, list[float]] = defaultdict(list)
         self.verdicts_by_job: dict[str, set[Verdict]] = defaultdict(set)
         self.calls_by_node: dict[str, set[asyncio.Future]] = {}
         self.drop_starts: set[str] = set()
@@ -472,7 +477,11 @@
                 f"{leaving_s:.3f} s"
             )
         if order.task in self.acknowledged_tasks:
-            self.repeated_runs.append(f"{now:.3f}: {order.task} runs again on {worker.info.id}")
+            repeat = f"{now:.3f}: {order.task} runs again on {worker.info.id}"
+            self.repeated_runs.append(repeat)
+            called_at = min(self.called_at_by_job[order.task.job], default=now)
+            if called_at <= self.acknowledged_at[order.task]:
+                self.repeated_runs_of_callers.append(repeat)
         for other in self.workers.values():
             if order.task in other.runs:
                 self.violations.append(
@@ -493,6 +502,8 @@
 
     async def run_job(self, entry: str, job: JobRequest) -> Outcome:
         node = self.nodes[entry]
+        called_at = self.loop.time()
+        self.called_at_by_job[job.id].append(called_at)
         call = asyncio.ensure_future(node.pending_jobs.run(job))
         self.calls_by_node.setdefault(node.me.incarnation, set()).add(call)
         try:
@@ -500,6 +511,7 @@
         except asyncio.CancelledError:
             # The caller's connection was closed, so it does not learn the outcome.
             outcome = Outcome(verdict=Verdict.UNKNOWN, reason="connection closed")
+        self.called_at_by_job[job.id].remove(called_at)
         self.verdicts_by_job[job.id].add(outcome.verdict)
         started = any(task.job == job.id for _, _, task, _ in self.starts)
         if self.verdicts_by_job[job.id] == {Verdict.REFUSED} and started:
