--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -283,7 +283,8 @@
         self.acknowledged_at: dict[TaskId, float] = {}
         self.called_at_by_job: dict[str, list[float]] = defaultdict(list)
         self.verdicts_by_job: dict[str, set[Verdict]] = defaultdict(set)
-        self.calls_by_node: dict[str, set[asyncio.Future]] = {}
+        # In order of the calls: a set of futures is ordered by their addresses in memory.
+        self.calls_by_node: dict[str, list[asyncio.Future]] = defaultdict(list)
         self.drop_starts: set[str] = set()
         self.lose_every_nth_hold: int = 0
         self.holds: int = 0
@@ -427,7 +428,7 @@
     def kill_node(self, name: str) -> None:
         node = self.nodes.pop(name)
         node.close()
-        for call in self.calls_by_node.pop(node.me.incarnation, set()):
+        for call in self.calls_by_node.pop(node.me.incarnation, []):
             call.cancel()
 
     # -- faults -----------------------------------------------------------------------------
@@ -505,7 +506,7 @@
         called_at = self.loop.time()
         self.called_at_by_job[job.id].append(called_at)
         call = asyncio.ensure_future(node.pending_jobs.run(job))
-        self.calls_by_node.setdefault(node.me.incarnation, set()).add(call)
+        self.calls_by_node[node.me.incarnation].append(call)
         try:
             outcome = await call
         except asyncio.CancelledError:
--- a/zincwell/dispatch/_background.py
+++ b/zincwell/dispatch/_background.py
@@ -17,20 +17,22 @@
     """
 
     def __init__(self) -> None:
-        self._tasks: set[asyncio.Task] = set()
+        # A dict, in order of creation: a set of tasks is ordered by their addresses in memory, and
+        # the order of cancellation would differ from run to run.
+        self._tasks: dict[asyncio.Task, None] = {}
 
     def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Start a task that runs a coroutine."""
         task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
+        self._tasks[task] = None
         task.add_done_callback(self._on_task_done)
 
     def close(self) -> None:
         """Cancel all tasks."""
-        for task in self._tasks:
+        for task in list(self._tasks):
             task.cancel()
 
     def _on_task_done(self, task: asyncio.Task) -> None:
-        self._tasks.discard(task)
+        self._tasks.pop(task, None)
         if not task.cancelled() and task.exception() is not None:
             log.error("task_failed task=%s", task.get_coro(), exc_info=task.exception())
--- a/zincwell/dispatch/_pending_jobs.py
+++ b/zincwell/dispatch/_pending_jobs.py
@@ -90,7 +90,7 @@
     :param arrived_at: event loop time of the first caller's request.
     :param cell: cell whose owner has the job, or will get it.
     :param refused_by: cells whose owners have refused it.
-    :param waiters: one future for each waiting caller.
+    :param waiters: one future for each waiting caller, in order of their calls.
     :param done: finished tasks, as pairs of step and index.
     :param submitted_fence: fencing token of the owner that it was submitted to, 0 if none.
     :param submitted_at: event loop time of the last submission.
@@ -102,7 +102,7 @@
     arrived_at: float
     cell: str
     refused_by: set[str] = field(default_factory=set)
-    waiters: set[asyncio.Future[Outcome]] = field(default_factory=set)
+    waiters: dict[asyncio.Future[Outcome], None] = field(default_factory=dict)
     done: set[tuple[int, int]] = field(default_factory=set)
     submitted_fence: int = 0
     submitted_at: float = 0.0
@@ -152,7 +152,7 @@
             self._pending_by_id[request.id] = pending
             self._submit(pending)
         waiter: asyncio.Future[Outcome] = self._loop.create_future()
-        pending.waiters.add(waiter)
+        pending.waiters[waiter] = None
         timer: asyncio.TimerHandle | None = None
         if request.timeout_ms:
             answer_by = arrived_at + entry_answer_by_s(request)
@@ -162,7 +162,7 @@
         finally:
             if timer is not None:
                 timer.cancel()
-            pending.waiters.discard(waiter)
+            pending.waiters.pop(waiter, None)
             if not waiter.done() or waiter.cancelled():
                 self._handle_disconnect(pending)
 
@@ -397,7 +397,7 @@
             self._give_up(pending, reason)
             return
         # The job goes on for the other callers, so it may run.
-        pending.waiters.discard(waiter)
+        pending.waiters.pop(waiter, None)
         outcome = Outcome(verdict=Verdict.UNKNOWN, reason=reason, retry_after_s=RETRY_AFTER_S)
         waiter.set_result(outcome)
 
