--- a/tests/test_pool_messages.py
+++ b/tests/test_pool_messages.py
@@ -133,7 +133,7 @@
 class QuietObserver(LinkObserver):
     """Observer that ignores receipts and reports empty state."""
 
-    def on_receipt(self, link, receipt):
+    def on_receipt(self, link, receipt, messages):
         pass
 
     def own_fence(self):
--- a/zincwell/dispatch/_job_registry.py
+++ b/zincwell/dispatch/_job_registry.py
@@ -168,6 +168,13 @@
             self._cancelled.add(cancelled, now=now)
             self.end(job, Outcome(verdict=Verdict.CANCELLED), remember=False)
 
+    def may_return(self, job_id: str) -> bool:
+        """Return whether an entry may still submit a job that is not open here.
+
+        Not if it was answered for good or cancelled: its tasks never start again.
+        """
+        return self._answers.get(job_id) is None and not self.is_cancelled(job_id)
+
     def is_cancelled(self, job_id: str) -> bool:
         """Return whether a job was cancelled recently and not submitted again."""
         if job_id in self.jobs_by_id:
--- a/zincwell/dispatch/_jobs.py
+++ b/zincwell/dispatch/_jobs.py
@@ -143,6 +143,10 @@
         self.started = True
         self.unfinished_by_step[task.id.step] -= 1
 
+    def done_tasks(self) -> list[TaskId]:
+        """Return the ids of the tasks that are done."""
+        return [task.id for step in self.tasks for task in step if task.state is TaskState.DONE]
+
     def waiting_work(self) -> float:
         """Return the estimated work of the waiting tasks, in millicore-seconds."""
         return self.request.work() * self.waiting / sum(step.count for step in self.request.steps)
--- a/zincwell/dispatch/_messages.py
+++ b/zincwell/dispatch/_messages.py
@@ -37,11 +37,15 @@
     by_request: bool = False
 
 
-class TasksDone(Struct, frozen=True, kw_only=True, tag="done"):
-    """Owner to entry: these tasks are done and must not run again under a later owner."""
+class TasksDone(Struct, frozen=True, kw_only=True, tag="done", omit_defaults=True):
+    """Owner to entry: these tasks are done and must not run again under a later owner.
+
+    :param fence: fencing token of the owner that reports it, 0 if it is of an earlier build.
+    """
 
     job: str
     tasks: list[tuple[int, int]]
+    fence: int = 0
 
 
 class JobEnded(Struct, frozen=True, kw_only=True, tag="ended", omit_defaults=True):
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -537,7 +537,7 @@
         elif isinstance(message, JobEnded):
             self.pending_jobs.handle_answer(message)
         elif isinstance(message, TasksDone):
-            self.pending_jobs.note_done(message.job, message.tasks)
+            self.pending_jobs.note_done(message.job, message.tasks, fence=message.fence)
         elif isinstance(message, Cancel):
             if self._owner is not None:
                 self._owner.cancel(message, entry=sender.name, delay_s=delay_s)
@@ -604,8 +604,10 @@
         """Return the fencing token of this entry if it is an owner, else 0."""
         return self._owner.fence if self._owner is not None else 0
 
-    def on_receipt(self, link: PeerLink, receipt: Receipt) -> None:
+    def on_receipt(self, link: PeerLink, receipt: Receipt, messages: list[Message]) -> None:
         """Process the acknowledgement of a delivery."""
+        for message in messages:
+            self._note_delivered(link.peer.name, message)
         self.evacuations.update_from_peer(receipt.evacuations, entry=receipt.receiver.name)
         if receipt.receiver.incarnation != link.peer.incarnation:
             self._directory.note(receipt.receiver)
@@ -714,16 +716,31 @@
 
     def on_tasks_done(self, job: str, entries: set[str], tasks: list[tuple[int, int]]) -> None:
         """Report finished tasks to the entries, so that a later owner does not run them again."""
-        self._send_to_entries(entries, TasksDone(job=job, tasks=tasks))
+        self._send_to_entries(entries, TasksDone(job=job, tasks=tasks, fence=self.election.fence))
 
     def _send_to_entries(self, entries: set[str], message: Message) -> None:
-        for name in entries:
+        for name in sorted(entries):
             if name == self.me.name:
-                self._loop.call_soon(self._handle, self.me, message)
+                self._loop.call_soon(self._deliver_to_self, message)
                 continue
             entry = self._directory.entries_by_name.get(name)
             if entry is not None:
                 self._directory.link(entry).send(message)
+            else:
+                self._note_delivered(name, message)
+
+    def _deliver_to_self(self, message: Message) -> None:
+        self._handle(self.me, message)
+        self._note_delivered(self.me.name, message)
+
+    def _note_delivered(self, entry: str, message: Message) -> None:
+        """Tell the owner which ends an entry knows of, or that the entry is gone."""
+        if self._owner is None:
+            return
+        if isinstance(message, TasksDone):
+            self._owner.note_tasks_known(entry, message.job, message.tasks)
+        elif isinstance(message, JobEnded):
+            self._owner.note_outcome_known(entry, message.job)
 
     def on_superseded(self) -> None:
         """Look up the current owner after a worker has refused this owner's fencing token."""
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -12,6 +12,7 @@
 
 from zincwell.dispatch._background import BackgroundTasks
 from zincwell.dispatch._clocks import MAX_CLOCK_DRIFT_RATE
+from zincwell.dispatch._end_reports import EndReports
 from zincwell.dispatch._health import WorkerHealthMonitor
 from zincwell.dispatch._job_registry import JobRegistry
 from zincwell.dispatch._jobs import Job, Task, TaskState
@@ -56,6 +57,8 @@
 STARTUP_DELAY_S = 0.06
 # Retry delay for callers while workers are evacuated. Operators end evacuations by hand.
 EVACUATED_RETRY_S = 5.0
+# The oldest ends of tasks without an open job are forgotten beyond this number.
+MAX_UNCLAIMED_ENDS = 20_000
 # Interval between checks for jobs that can't be served and for unclaimed orphaned runs.
 REVIEW_INTERVAL_S = 0.02
 
@@ -154,7 +157,9 @@
         self._client = client
         self._listener = listener
         self._limits = limits
-        self._orphaned_ends: dict[TaskId, EndKind] = {}
+        # Ends "done" of tasks whose jobs are not known here, or not any more.
+        self._unclaimed_ends: dict[TaskId, None] = {}
+        self._end_reports = EndReports()
         self._loop = asyncio.get_running_loop()
         self._loss_detector = AnswerLossDetector()
         self._workers = WorkerSet(
@@ -337,10 +342,12 @@
             possibly_started=possibly_started,
             delay_s=delay_s,
         )
+        known = {TaskId(request.id, step, index) for step, index in done}
         if job is None:
+            self._update_job(request.id, entry, known)
             return
-        for step, index in done:
-            self._mark_task_done(job, TaskId(request.id, step, index))
+        for task_id in known:
+            self._mark_task_done(job, task_id)
         self._typical_task_cpu = max(job.smallest_cpu, 1)
         self._adopt_existing_runs(job)
         self._overload.note_arrival(job, self._loop.time())
@@ -353,10 +360,59 @@
             sum(job.unfinished_by_step),
             job.waiting,
         )
+        self._report_unknown_ends(job, entry, known)
+        if not job.is_complete():
+            self._enqueue(job)
+
+    def _update_job(self, job_id: str, entry: str, known: set[TaskId]) -> None:
+        """Exchange the done tasks of an open job with an entry that submits it as well.
+
+        An entry that has the job from a caller's retry has never heard of them, and a previous
+        owner may have reported some of them to the entry only now.
+
+        :param known: done tasks that the entry knows of.
+        """
+        job = self.jobs.jobs_by_id.get(job_id)
+        if job is None:
+            return
+        for task_id in known:
+            self._mark_task_done(job, task_id)
+        for session, run in list(self._runs.of_job(job_id)):
+            if run.task in known and not run.stopping:
+                session.stop(run)
+        self._report_unknown_ends(job, entry, known)
+
+    def _report_unknown_ends(self, job: Job, entry: str, known: set[TaskId]) -> None:
+        """Report the done tasks of a job to an entry that does not know of them all.
+
+        :param known: done tasks that it knows of.
+        """
+        self._end_reports.note_known(entry, job.request.id, known)
+        self._report_ends(job, {entry}, [id for id in job.done_tasks() if id not in known])
+
+    def _report_ends(self, job: Job, entries: set[str], tasks: list[TaskId]) -> None:
+        """Report done tasks to entries, or the outcome to all entries if the job is complete."""
+        now = self._loop.time()
+        for task in tasks:
+            self._end_reports.expect(task, entries, now=now)
         if job.is_complete():
             self.jobs.end(job, Outcome(verdict=Verdict.SUCCEEDED))
-            return
-        self._enqueue(job)
+        elif tasks:
+            keys = [(task.step, task.index) for task in tasks]
+            self._listener.on_tasks_done(job.request.id, entries, keys)
+
+    def note_tasks_known(self, entry: str, job: str, tasks: list[tuple[int, int]]) -> None:
+        """Record that an entry knows of done tasks, or is gone."""
+        ids = [TaskId(job, step, index) for step, index in tasks]
+        self._end_reports.note_known(entry, job, ids)
+
+    def note_outcome_known(self, entry: str, job: str) -> None:
+        """Record that an entry knows the outcome of a job, or is gone."""
+        self._end_reports.note_known(entry, job)
+
+    def call_when_end_is_known(self, task: TaskId, listener: Callable[[], None]) -> bool:
+        """Call a listener once the waiting entries know that a task is done."""
+        return self._end_reports.call_when_known(task, listener)
 
     def cancel(self, message: Cancel, *, entry: str, delay_s: float) -> None:
         """Cancel a job for the callers of one entry, or for all if a caller asked for it.
@@ -422,11 +478,10 @@
                     run = self.on_orphaned_run(session, task_id, number)
                     if run is not None:
                         session.adopt(run)
-        for task_id, kind in list(self._orphaned_ends.items()):
+        for task_id in list(self._unclaimed_ends):
             if task_id.job == job.request.id:
-                del self._orphaned_ends[task_id]
-                if kind is EndKind.DONE:
-                    self._mark_task_done(job, task_id)
+                del self._unclaimed_ends[task_id]
+                self._mark_task_done(job, task_id)
 
     def _enqueue(self, job: Job) -> None:
         """Add a job to the queue if any of its tasks are waiting."""
@@ -482,12 +537,14 @@
         self._health.note_end(session, run, outcome)
         labels = f'service="{session.info.service}",fate="{outcome.name.lower()}"'
         self._metrics.record("run", self._loop.time() - run.ordered_at, labels)
+        if job is None and outcome is RunOutcome.DONE:
+            self._note_unclaimed_end(run.task)
         if job is None or task is None or task.state is not TaskState.RUNNING:
             return
         if outcome is RunOutcome.DONE:
             self._health.note_done(session, run, self._note_run_time(session, job, run))
             job.mark_done(task)
-            self._report_task_done(job, task)
+            self._report_ends(job, set(job.waiting_entries), [task.id])
             return
         if outcome is not RunOutcome.NOT_STARTED:
             log.info(
@@ -572,13 +629,6 @@
         task = job.task(run.task) if job is not None else None
         return task.moves if task is not None else 0
 
-    def _report_task_done(self, job: Job, task: Task) -> None:
-        if job.is_complete():
-            self.jobs.end(job, Outcome(verdict=Verdict.SUCCEEDED))
-            return
-        task_key = (task.id.step, task.id.index)
-        self._listener.on_tasks_done(job.request.id, set(job.waiting_entries), [task_key])
-
     def on_orphaned_run(self, session: WorkerSession, task: TaskId, number: int) -> Run | None:
         """Return the run to adopt for a task that a previous owner started, or None."""
         job = self.jobs.jobs_by_id.get(task.job)
@@ -603,14 +653,25 @@
 
     def on_orphaned_run_ended(self, task: TaskId, kind: EndKind) -> None:
         """Record the end of a run that this owner did not order."""
+        if kind is not EndKind.DONE:
+            return
         job = self.jobs.jobs_by_id.get(task.job)
         if job is None:
-            self._orphaned_ends[task] = kind
+            self._note_unclaimed_end(task)
             return
         known = job.task(task)
-        if kind is EndKind.DONE and known is not None and known.state is TaskState.WAITING:
+        if known is not None and known.state is TaskState.WAITING:
             job.mark_done(known)
-            self._report_task_done(job, known)
+            self._report_ends(job, set(job.waiting_entries), [task])
+
+    def _note_unclaimed_end(self, task: TaskId) -> None:
+        """Remember a done task of a job that is not open here, but may be submitted (again)."""
+        if not self.jobs.may_return(task.job):
+            return
+        self._unclaimed_ends[task] = None
+        if len(self._unclaimed_ends) > MAX_UNCLAIMED_ENDS:
+            del self._unclaimed_ends[next(iter(self._unclaimed_ends))]
+        self._end_reports.expect(task, (), now=self._loop.time())
 
     def on_fenced(self, session: WorkerSession) -> None:
         """Suspend scheduling until the current owner is known."""
@@ -631,6 +692,7 @@
         while True:
             await asyncio.sleep(REVIEW_INTERVAL_S)
             now = self._loop.time()
+            self._end_reports.finish_overdue(now)
             self._end_unservable_jobs(now)
             self._orphans.stop_due(now)
             awaits_lease_expiry = any(
--- a/zincwell/dispatch/_peers.py
+++ b/zincwell/dispatch/_peers.py
@@ -39,8 +39,11 @@
     """Callbacks of a link to its node."""
 
     @abc.abstractmethod
-    def on_receipt(self, link: PeerLink, receipt: Receipt) -> None:
-        """Process the acknowledgement of a delivery."""
+    def on_receipt(self, link: PeerLink, receipt: Receipt, messages: list[Message]) -> None:
+        """Process the acknowledgement of a delivery.
+
+        :param messages: the messages that were delivered.
+        """
 
     @abc.abstractmethod
     def own_fence(self) -> int:
@@ -210,10 +213,10 @@
                 self._in_flight, self._queue = self._queue, []
                 self._in_flight_queued_at = self._queued_at
                 receipt = await self._deliver(self._queued_at)
-                self._in_flight = []
+                delivered, self._in_flight = self._in_flight, []
                 # After the delivery has ended, since replies to the receipt are only sent on an
                 # idle link.
-                self._observer.on_receipt(self, receipt)
+                self._observer.on_receipt(self, receipt, delivered)
 
     async def _deliver(self, queued_at: float) -> Receipt:
         """Deliver the messages in flight until acknowledged, in their current state each time.
--- a/zincwell/dispatch/_pending_jobs.py
+++ b/zincwell/dispatch/_pending_jobs.py
@@ -290,11 +290,22 @@
             if not waiter.done():
                 waiter.set_result(outcome)
 
-    def note_done(self, job_id: str, tasks: list[tuple[int, int]]) -> None:
-        """Record finished tasks, which must not run again after the loss of the owner."""
+    def note_done(self, job_id: str, tasks: list[tuple[int, int]], *, fence: int = 0) -> None:
+        """Record finished tasks, which must not run again after the loss of the owner.
+
+        The present owner is told of what an earlier one reports. It would run these tasks again,
+        since the worker forgets their ends.
+
+        :param fence: fencing token of the owner that reports them, 0 if unknown.
+        """
         pending = self._pending_by_id.get(job_id)
-        if pending is not None:
-            pending.done.update(tuple(task) for task in tasks)
+        if pending is None:
+            return
+        known = len(pending.done)
+        pending.done.update(tuple(task) for task in tasks)
+        is_news = len(pending.done) > known
+        if is_news and fence and pending.submitted_fence not in (0, fence):
+            self._submit(pending)
 
     def submit_pending(self, cell: str) -> None:
         """Submit all waiting jobs of a cell to its new owner."""
--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -4,9 +4,12 @@
 
 import abc
 import asyncio
+import functools
 import logging
+from collections.abc import Callable
 
 from zincwell.dispatch._background import BackgroundTasks
+from zincwell.dispatch._end_reports import EndAcknowledgements
 from zincwell.dispatch._runs import Run, RunOutcome
 from zincwell.dispatch._types import Limits, Step, TaskId, WorkerInfo
 from zincwell.dispatch._worker_calls import HOLD_WAIT_S, WorkerCalls, WorkerRestartedError
@@ -14,11 +17,13 @@
     MAX_ANSWER_TIMEOUT_S,
     MAX_LOOP_LAG_S,
     AnswerLossDetector,
+    choose_held_poll_delay_s,
     choose_long_poll_wait_s,
     is_record_missing,
 )
 from zincwell.dispatch.ports import (
     ActiveRun,
+    EndedRun,
     EndKind,
     HoldReply,
     StartStatus,
@@ -92,6 +97,13 @@
     def on_orphaned_run_ended(self, task: TaskId, kind: EndKind) -> None:
         """Record the end of a run that this owner did not order."""
 
+    @abc.abstractmethod
+    def call_when_end_is_known(self, task: TaskId, listener: Callable[[], None]) -> bool:
+        """Call a listener once the waiting entries know that a task is done.
+
+        Returns False if they know it already, so that the end may be acknowledged.
+        """
+
     @abc.abstractmethod
     def on_fenced(self, session: WorkerSession) -> None:
         """Handle a worker that has accepted a higher fencing token of another owner."""
@@ -167,6 +179,7 @@
             born_ms=info.born_ms or None,
         )
         self._record_born_ms = info.born_ms
+        self._ends = EndAcknowledgements()
         # Time of each order without an answer, by task and number of the run. The next incarnation
         # of the worker may execute them, also those that this one refuses.
         self._unanswered_orders: dict[tuple[TaskId, int], float] = {}
@@ -525,6 +538,7 @@
         while True:
             try:
                 if failures == 0 and not self.silent and self.held:
+                    await self._wait_for_end_reports()
                     await self._hold_until_run_ends()
                 else:
                     await self._hold(0.0)
@@ -599,6 +613,19 @@
                 next_answer_s=self._loop.time() - asked_at,
             )
 
+    async def _wait_for_end_reports(self) -> None:
+        """Delay the next poll until the entries know of the ends that the last one brought.
+
+        A worker with unacknowledged ends reports them again at once, so polls would follow each
+        other without a pause.
+        """
+        if self._ends.has_held():
+            delay_s = choose_held_poll_delay_s(
+                next_end_s=self._next_end_s(self._loop.time()),
+                min_delay_s=self._observer.min_poll_interval_s(),
+            )
+            await self._ends.wait_until_released(delay_s)
+
     def _next_end_s(self, now: float) -> float | None:
         """Return the time in seconds until the next run is expected to end; None without runs."""
         remaining_s = (
@@ -637,15 +664,9 @@
     def _apply_reply(self, reply: HoldReply, sent_at: float) -> None:
         now = self._loop.time()
         for row in reply.ended:
-            if row.number <= self._calls.acknowledged:
-                continue
-            self._calls.acknowledged = row.number
-            self.orphaned_runs.pop(row.task, None)
-            run = self.runs.get(row.task)
-            if run is None or run.number != row.run:
-                self._observer.on_orphaned_run_ended(row.task, row.kind)
-                continue
-            self._remove_run(run, _outcome_of(row.kind))
+            if row.number > self._ends.processed:
+                self._process_end(row)
+        self._calls.acknowledged = self._ends.acknowledged()
         if not self._calls.clock.update(reply.clock_ms):
             # A later answer arrived first on another connection, so this list of runs is stale.
             return
@@ -665,6 +686,23 @@
         self._void_earlier_orders()
         self._observer.on_progress_reported(self, reply.clock_ms)
 
+    def _process_end(self, row: EndedRun) -> None:
+        self._ends.processed = row.number
+        self.orphaned_runs.pop(row.task, None)
+        run = self.runs.get(row.task)
+        if run is None or run.number != row.run:
+            self._observer.on_orphaned_run_ended(row.task, row.kind)
+        else:
+            self._remove_run(run, _outcome_of(row.kind))
+        if row.kind is EndKind.DONE:
+            release = functools.partial(self._release_end, row.number)
+            if self._observer.call_when_end_is_known(row.task, release):
+                self._ends.hold(row.number)
+
+    def _release_end(self, number: int) -> None:
+        self._ends.release(number)
+        self._calls.acknowledged = self._ends.acknowledged()
+
     def _note_active_run(self, row: ActiveRun, clock_ms: int, now: float) -> None:
         run = self.runs.get(row.task)
         if run is None:
--- a/zincwell/dispatch/decisions/__init__.py
+++ b/zincwell/dispatch/decisions/__init__.py
@@ -43,6 +43,7 @@
 from zincwell.dispatch.decisions._polling import (
     MAX_LOOP_LAG_S,
     AnswerLossDetector,
+    choose_held_poll_delay_s,
     choose_long_poll_wait_s,
     min_poll_interval_s,
 )
@@ -105,6 +106,7 @@
     "WorkerSpeeds",
     "chance_in_time",
     "choose_classes",
+    "choose_held_poll_delay_s",
     "choose_long_poll_wait_s",
     "choose_other_cell",
     "choose_retry_after_s",
--- a/zincwell/dispatch/decisions/_polling.py
+++ b/zincwell/dispatch/decisions/_polling.py
@@ -35,6 +35,9 @@
 POLL_COST_S = 0.0005
 # Share of the owner's processor that polls may take; the rest is for starts and jobs.
 POLL_CPU_SHARE = 0.25
+# A worker that waits for the acknowledgement of an end is polled again after this time at the
+# latest. It answers each poll at once, and the end of a run that is not forecast has to be noticed.
+MAX_HELD_POLL_DELAY_S = 0.1
 # A worker without runs for IDLE_AFTER_S seconds is polled only every IDLE_POLL_WAIT_S seconds. In
 # a pool of 1,500 idle workers, four polls a second to each would be 6,000 with nothing to report.
 IDLE_AFTER_S = 1.0
@@ -79,6 +82,19 @@
     return max(MIN_WAIT_S, workers * POLL_COST_S / (cores * POLL_CPU_SHARE))
 
 
+def choose_held_poll_delay_s(*, next_end_s: float | None, min_delay_s: float) -> float:
+    """Return the delay before the next poll of a worker with ends that must not be acknowledged.
+
+    The entries usually confirm within milliseconds, which ends the delay early.
+
+    :param next_end_s: when its next run should end, or None if it has no runs.
+    :param min_delay_s: shortest delay.
+    """
+    if next_end_s is None:
+        return MAX_HELD_POLL_DELAY_S
+    return max(min(next_end_s + END_MARGIN_S, MAX_HELD_POLL_DELAY_S), min_delay_s)
+
+
 def choose_long_poll_wait_s(
     *,
     max_wait_s: float,
