--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -17,7 +17,6 @@
     MAX_ANSWER_TIMEOUT_S,
     MAX_LOOP_LAG_S,
     AnswerLossDetector,
-    choose_held_poll_delay_s,
     choose_long_poll_wait_s,
     choose_void_interval_s,
     is_record_missing,
@@ -687,15 +686,11 @@
     async def _wait_for_end_reports(self) -> None:
         """Delay the next poll until the entries know of the ends that the last one brought.
 
-        A worker with unacknowledged ends reports them again at once, so polls would follow each
-        other without a pause.
+        The entries usually confirm within milliseconds. A worker with unacknowledged ends answers
+        each poll at once, so polls would follow each other without a pause.
         """
         if self._ends.has_held():
-            delay_s = choose_held_poll_delay_s(
-                next_end_s=self._next_end_s(self._loop.time()),
-                min_delay_s=self._observer.min_poll_interval_s(),
-            )
-            await self._ends.wait_until_released(delay_s)
+            await self._ends.wait_until_released(self._observer.min_poll_interval_s())
 
     def _next_end_s(self, now: float) -> float | None:
         """Return the time in seconds until the next run is expected to end; None without runs."""
--- a/zincwell/dispatch/decisions/__init__.py
+++ b/zincwell/dispatch/decisions/__init__.py
@@ -43,7 +43,6 @@
 from zincwell.dispatch.decisions._polling import (
     MAX_LOOP_LAG_S,
     AnswerLossDetector,
-    choose_held_poll_delay_s,
     choose_long_poll_wait_s,
     choose_void_interval_s,
     min_poll_interval_s,
@@ -107,7 +106,6 @@
     "WorkerSpeeds",
     "chance_in_time",
     "choose_classes",
-    "choose_held_poll_delay_s",
     "choose_long_poll_wait_s",
     "choose_other_cell",
     "choose_retry_after_s",
--- a/zincwell/dispatch/decisions/_polling.py
+++ b/zincwell/dispatch/decisions/_polling.py
@@ -39,9 +39,6 @@
 POLL_COST_S = 0.0005
 # Share of the owner's processor that polls may take; the rest is for starts and jobs.
 POLL_CPU_SHARE = 0.25
-# A worker that waits for the acknowledgement of an end is polled again after this time at the
-# latest. It answers each poll at once, and the end of a run that is not forecast has to be noticed.
-MAX_HELD_POLL_DELAY_S = 0.1
 # Intervals at which a worker is told again to refuse orders without an answer, whose tasks run
 # elsewhere, while it answers and while it does not. If it restarts, the next process does not know
 # of them and executes those that arrive before the next stop order.
@@ -94,19 +91,6 @@
     return max(MIN_WAIT_S, workers * POLL_COST_S / (cores * POLL_CPU_SHARE))
 
 
-def choose_held_poll_delay_s(*, next_end_s: float | None, min_delay_s: float) -> float:
-    """Return the delay before the next poll of a worker with ends that must not be acknowledged.
-
-    The entries usually confirm within milliseconds, which ends the delay early.
-
-    :param next_end_s: when its next run should end, or None if it has no runs.
-    :param min_delay_s: shortest delay.
-    """
-    if next_end_s is None:
-        return MAX_HELD_POLL_DELAY_S
-    return max(min(next_end_s + END_MARGIN_S, MAX_HELD_POLL_DELAY_S), min_delay_s)
-
-
 def choose_void_interval_s(*, answers: bool, min_poll_interval_s: float) -> float:
     """Return the interval between stop orders for an order that must not be executed.
 
