--- a/zincwell/dispatch/_end_reports.py
+++ b/zincwell/dispatch/_end_reports.py
@@ -12,9 +12,9 @@
 
 from zincwell.dispatch._types import TaskId
 
-# An end is acknowledged after this time even if an entry has not confirmed its report. A take-over
-# takes up to 0.8 s, and meanwhile the end blocks the acknowledgement of all later ones.
-REPORT_TIMEOUT_S = 1.5
+# An end is acknowledged after this time even if an entry has not confirmed its report. Workers
+# require acknowledgements within 4 s.
+REPORT_TIMEOUT_S = 3.0
 
 
 @dataclass(slots=True, kw_only=True, eq=False)
@@ -69,12 +69,6 @@
             if not report.entries:
                 self._finish(task)
 
-    def stop_waiting_for(self, entries: Collection[str]) -> None:
-        """Wait no longer for entries that do not answer."""
-        for task, report in list(self._all()):
-            if report.entries and report.entries <= set(entries):
-                self._finish(task)
-
     def finish_overdue(self, now: float) -> None:
         """Count the reports as known that were not confirmed in time."""
         for task, report in list(self._all()):
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -410,13 +410,6 @@
         """Record that an entry knows the outcome of a job, or is gone."""
         self._end_reports.note_known(entry, job)
 
-    def stop_waiting_for_reports(self, entries: Collection[str]) -> None:
-        """Acknowledge the ends that only these silent entries have not confirmed.
-
-        A worker that may not forget an end is polled at intervals, so later ends are seen late.
-        """
-        self._end_reports.stop_waiting_for(entries)
-
     def call_when_end_is_known(self, task: TaskId, listener: Callable[[], None]) -> bool:
         """Call a listener once the waiting entries know that a task is done."""
         return self._end_reports.call_when_known(task, listener)
--- a/zincwell/dispatch/_reachability.py
+++ b/zincwell/dispatch/_reachability.py
@@ -59,8 +59,6 @@
         if not self._worker_list.is_fresh():
             self._domains.note_worker_list_unavailable()
         silent = self._find_silent_entries(ENTRY_TIMEOUT_S)
-        if silent:
-            owner.stop_waiting_for_reports(silent)
         if self._cell_directory.other_cells():
             # The callers of a failed entry may resubmit their jobs to any cell, which would run
             # them a second time alongside this one.
