Send a start order without an answer again to the same worker, and start its task nowhere else

Cause: from the moment the task runs elsewhere, the promise rests on a stop order that has to reach a process that does not exist yet sooner than an order that is already on its way. No repetition of stop orders excludes that.

Change, for workers that send the time of their start: an order without an answer is sent again, with the same number, until it is answered. A worker executes a run once however often it is ordered, so a late copy finds the run or starts it where the task belongs, in this incarnation and in the next. An owner keeps each copy that was not answered (UnansweredOrders) for 12 s and a lease; while there is one of a task, it starts on no other worker: not after a refusal of another copy, not after a failed run, not for a job that is submitted again. A worker that leaves three copies unanswered gets one run at a time. The repeated stop orders, which this replaces, are removed.

--- a/zincwell/dispatch/_health.py
+++ b/zincwell/dispatch/_health.py
@@ -236,7 +236,7 @@
 
     def _move_slow(self, session: WorkerSession, runs: list[Run]) -> None:
         for run in runs:
-            if is_move_worthwhile(
+            if session.may_move(run) and is_move_worthwhile(
                 remaining_s=self._remaining_s(session, run),
                 expected_s=self._expected_elsewhere_s(session, run),
                 moves=self._moves_of(run),
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -28,11 +28,12 @@
     JobRequest,
     Limits,
     Outcome,
-    Step,
     TaskId,
     Verdict,
     WorkerInfo,
 )
+from zincwell.dispatch._unanswered_orders import UnansweredOrders
+from zincwell.dispatch._worker_calls import max_lease_s
 from zincwell.dispatch._worker_session import WorkerObserver, WorkerSession
 from zincwell.dispatch._worker_set import WorkerSet
 from zincwell.dispatch.decisions import (
@@ -162,6 +163,7 @@
         self._end_reports = EndReports()
         self._loop = asyncio.get_running_loop()
         self._loss_detector = AnswerLossDetector()
+        self._unanswered_orders = UnansweredOrders(max_lease_s=max_lease_s(limits))
         self._workers = WorkerSet(
             is_assigned=self._is_assigned,
             make_session=self._make_session,
@@ -177,6 +179,7 @@
             sessions_by_id=self._workers.sessions_by_id,
             may_start_tasks=self._may_start_tasks,
             may_have_orphaned_runs=self._may_have_orphaned_runs,
+            may_run_unseen=self._unanswered_orders.may_start,
             next_run_number=self._next_run_number,
             run_times=self._run_times,
             worker_list_age_s=listener.worker_list_age_s,
@@ -257,6 +260,7 @@
             fence=self.fence,
             limits=self._limits,
             loss_detector=self._loss_detector,
+            unanswered_orders=self._unanswered_orders,
             renew_only_adopted=self._renew_only_adopted,
         )
 
@@ -456,6 +460,7 @@
             "workers_silent": sum(1 for s in sessions if s.silent),
             "workers_over_capacity": sum(1 for s in sessions if s.free_cpu < 0),
             "runs": sum(len(s.runs) for s in sessions),
+            "orders_unanswered": len(self._unanswered_orders),
             **self._health.gauges(),
             **self._run_times.gauges(),
         }
@@ -571,21 +576,15 @@
         job.mark_waiting(task)
         self._enqueue(job)
 
-    def is_unfinished(self, task: TaskId) -> bool:
-        """Return whether a task of an open job is not done yet."""
+    def may_order_again(self, session: WorkerSession, task: TaskId) -> bool:
+        """Return whether a start order may be sent again, also after a restart of the worker."""
         job = self.jobs.jobs_by_id.get(task.job)
         known = job.task(task) if job is not None else None
-        return known is not None and known.state is not TaskState.DONE
-
-    def can_run_elsewhere(self, session: WorkerSession, step: Step) -> bool:
-        """Return whether another worker in use is large enough for a task of a step."""
-        now = self._loop.time()
-        return any(
-            other is not session
-            and other.info.service == session.info.service
-            and other.can_serve(now)
-            and could_ever_fit(other, step=step)
-            for other in self._workers.sessions_by_id.values()
+        return (
+            known is not None
+            and known.state is TaskState.RUNNING
+            and job.request.service == session.info.service
+            and could_ever_fit(session, step=job.request.steps[task.step])
         )
 
     def min_poll_interval_s(self) -> float:
--- a/zincwell/dispatch/_placement.py
+++ b/zincwell/dispatch/_placement.py
@@ -68,8 +68,6 @@
         return False
     if step.label and step.label not in session.info.labels:
         return False
-    if session.info.id in task.avoided_workers and session.must_not_reorder(task.id, step):
-        return False
     if not step.max_per_worker:
         return True
     return session.count_runs_of_step(task.id.job, task.id.step) < step.max_per_worker
--- a/zincwell/dispatch/_run_times.py
+++ b/zincwell/dispatch/_run_times.py
@@ -95,7 +95,7 @@
 
     def note_done(self, job: Job, run: Run, *, worker: WorkerInfo, now: float) -> float:
         """Learn from a run that succeeded; return its run time divided by the expected one."""
-        if run.adopted or run.carried:
+        if run.adopted or run.carried or run.orders_sent > 1:
             # The time at which the worker started it is unknown.
             return 1.0
         step = run.task.step
--- a/zincwell/dispatch/_runs.py
+++ b/zincwell/dispatch/_runs.py
@@ -47,6 +47,8 @@
     :param adopted: whether a previous owner ordered it.
     :param confirmed_at: when the worker first confirmed it, or None while the start is unconfirmed.
     :param start_deadline_ms: time after which the worker refuses the start order.
+    :param spec: what the task has to do, as its caller described it.
+    :param orders_sent: how often its start order was sent.
     :param answered: whether the start call has returned or failed.
     :param voided_at: when the worker was told to refuse it, or None.
     :param carried: whether it was ordered to an earlier incarnation of the worker, so that the
@@ -71,6 +73,8 @@
     adopted: bool = False
     confirmed_at: float | None = None
     start_deadline_ms: int = 0
+    spec: str = ""
+    orders_sent: int = 0
     answered: bool = False
     voided_at: float | None = None
     stopping: bool = False
--- a/zincwell/dispatch/_scheduler.py
+++ b/zincwell/dispatch/_scheduler.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterator, Mapping, Sequence
 
 from zincwell.dispatch._jobs import Job, Task, TaskState
 from zincwell.dispatch._metrics import Metrics
@@ -17,7 +17,7 @@
     ServicePlacement,
     UnevenWorkers,
 )
-from zincwell.dispatch._types import Step
+from zincwell.dispatch._types import Step, TaskId
 from zincwell.dispatch._worker_session import WorkerSession
 
 log = logging.getLogger("zincwell.owner")
@@ -30,6 +30,7 @@
     :param may_start_tasks: returns whether the owner may start any task yet.
     :param may_have_orphaned_runs: returns whether a job may have runs that the owner does not
         see, so that none of its tasks may start yet.
+    :param may_run_unseen: returns whether a task may be started by an order without an answer.
     :param next_run_number: returns the number of the next run of a task.
     :param run_times: estimates of run times.
     :param worker_list_age_s: returns the age of the list of workers that placement uses, in
@@ -43,6 +44,7 @@
         sessions_by_id: Mapping[str, WorkerSession],
         may_start_tasks: Callable[[float], bool],
         may_have_orphaned_runs: Callable[[Job, float], bool],
+        may_run_unseen: Callable[[TaskId], bool],
         next_run_number: Callable[[Task], int],
         run_times: JobRunTimeEstimator,
         worker_list_age_s: Callable[[], float],
@@ -56,6 +58,7 @@
         self._sessions_by_id = sessions_by_id
         self._may_start_tasks = may_start_tasks
         self._may_have_orphaned_runs = may_have_orphaned_runs
+        self._may_run_unseen = may_run_unseen
         self._next_run_number = next_run_number
         self._run_times = run_times
         self._worker_list_age_s = worker_list_age_s
@@ -143,9 +146,7 @@
 
     def _place_job(self, job: Job, workers: AvailableWorkers, now: float) -> None:
         for number, step in job.ready_steps():
-            for task in job.tasks[number]:
-                if task.state is not TaskState.WAITING:
-                    continue
+            for task in self._startable_tasks(job, number):
                 session = workers.find(step=step, task=task)
                 if session is None:
                     if task.avoided_workers:
@@ -162,7 +163,7 @@
         """
         placement = workers.placement
         for number, step in job.ready_steps():
-            waiting = [task for task in job.tasks[number] if task.state is TaskState.WAITING]
+            waiting = list(self._startable_tasks(job, number))
             if not waiting:
                 continue
             choice = placement.choose_classes(
@@ -185,6 +186,16 @@
                 placement.note_waiting(job, step, choice, tasks=left)
                 self._schedule_retry()
 
+    def _startable_tasks(self, job: Job, step: int) -> Iterator[Task]:
+        """Iterate over the waiting tasks of a step that no order without an answer may start."""
+        for task in job.tasks[step]:
+            if task.state is not TaskState.WAITING:
+                continue
+            if self._may_run_unseen(task.id):
+                self._schedule_retry()
+            else:
+                yield task
+
     def _schedule_retry(self) -> None:
         if not self._retry_scheduled:
             self._retry_scheduled = True
--- a/zincwell/dispatch/_worker_calls.py
+++ b/zincwell/dispatch/_worker_calls.py
@@ -12,7 +12,6 @@
     AnswerTimeoutEstimator,
     Sighting,
     compare_incarnation,
-    may_start_late,
 )
 from zincwell.dispatch.ports import (
     HoldReply,
@@ -29,9 +28,6 @@
 # Validity of a start order on the worker's clock. The worker refuses it afterwards, which bounds
 # how long the outcome of an unanswered start is unknown.
 START_VALIDITY_MS = 400
-# The network may hold an order for this long. A worker that has restarted meanwhile executes it,
-# since the deadline of the order is on the clock of the earlier incarnation.
-MAX_ORDER_DELAY_S = 12.0
 
 
 class WorkerRestartedError(ZincwellError):
@@ -45,6 +41,11 @@
         self.born_ms = born_ms
 
 
+def max_lease_s(limits: Limits) -> float:
+    """Return for how long a lease that is requested now may last on this entry's clock."""
+    return limits.max_lease_s * (1 + MAX_CLOCK_DRIFT_RATE) + limits.thaw_slack_s
+
+
 class WorkerCalls:
     """Sends orders to one incarnation of a worker under a fencing token.
 
@@ -91,25 +92,16 @@
 
         That call may have renewed the leases of runs that this incarnation executes.
         """
-        renewed_until = self._loop.time() + self._max_lease_s()
+        renewed_until = self._loop.time() + max_lease_s(self._limits)
         self._leases_expire_at = max(previous._leases_expire_at, renewed_until)
 
-    def may_start_late(self, ordered_at: float) -> bool:
-        """Return whether a restarted worker may still execute an order without an answer."""
-        return may_start_late(
-            now=self._loop.time(),
-            ordered_at=ordered_at,
-            max_order_delay_s=MAX_ORDER_DELAY_S,
-            max_lease_s=self._max_lease_s(),
-        )
-
-    async def start(self, run: Run, spec: str) -> StartReply:
+    async def start(self, run: Run) -> StartReply:
         """Order a run, which the worker refuses if the order arrives past its deadline."""
         run.start_deadline_ms = int(self.clock.lower_bound_ms() + START_VALIDITY_MS)
         order = StartOrder(
             task=run.task,
             run=run.number,
-            spec=spec,
+            spec=run.spec,
             deadline_ms=run.start_deadline_ms,
             fence=self.fence,
         )
@@ -120,19 +112,12 @@
             self.clock.update(reply.clock_ms)
         return reply
 
-    async def stop(
-        self, task: TaskId, number: int, *, timeout_s: float = MAX_ANSWER_TIMEOUT_S
-    ) -> None:
+    async def stop(self, task: TaskId, number: int) -> None:
         """Stop a run. If it has not started, the worker refuses it from then on."""
         await self._client.stop(
-            self.info, task=task, run=number, fence=self.fence, timeout_s=timeout_s
+            self.info, task=task, run=number, fence=self.fence, timeout_s=MAX_ANSWER_TIMEOUT_S
         )
 
-    @property
-    def answers_polls(self) -> bool:
-        """Whether the last poll was answered."""
-        return self._answered
-
     async def hold(
         self,
         *,
@@ -187,15 +172,10 @@
         if self.born_ms is None:
             self.born_ms = reply.born_ms
 
-    def _max_lease_s(self) -> float:
-        """Return for how long a lease that is requested now may last on this entry's clock."""
-        lease_s = self._limits.max_lease_s
-        return lease_s * (1 + MAX_CLOCK_DRIFT_RATE) + self._limits.thaw_slack_s
-
     def _lease_deadline_ms(self) -> int | None:
         """Return the next lease deadline on the worker's clock; None if that clock is unknown."""
         if not self.clock.is_known():
             return None
-        expire_at = self._loop.time() + self._max_lease_s()
+        expire_at = self._loop.time() + max_lease_s(self._limits)
         self._leases_expire_at = max(self._leases_expire_at, expire_at)
         return int(self.clock.lower_bound_ms() + self._limits.max_lease_s * 1000)
--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -11,15 +11,17 @@
 from zincwell.dispatch._background import BackgroundTasks
 from zincwell.dispatch._end_reports import EndAcknowledgements
 from zincwell.dispatch._runs import Run, RunOutcome
-from zincwell.dispatch._types import Limits, Step, TaskId, WorkerInfo
+from zincwell.dispatch._types import Limits, TaskId, WorkerInfo
+from zincwell.dispatch._unanswered_orders import MAX_ORDER_DELAY_S, SentOrder, UnansweredOrders
 from zincwell.dispatch._worker_calls import HOLD_WAIT_S, WorkerCalls, WorkerRestartedError
 from zincwell.dispatch.decisions import (
     MAX_ANSWER_TIMEOUT_S,
     MAX_LOOP_LAG_S,
     AnswerLossDetector,
     choose_long_poll_wait_s,
-    choose_void_interval_s,
+    choose_order_retry_s,
     is_record_missing,
+    leaves_orders_unanswered,
 )
 from zincwell.dispatch.ports import (
     ActiveRun,
@@ -37,9 +39,6 @@
 
 # A stop order is repeated if the worker still reports the run after this time.
 STOP_RETRY_S = 0.15
-# Timeout of repeated stop orders. A worker answers within milliseconds, and one that is down must
-# not occupy all connections with them.
-VOID_TIMEOUT_S = 0.05
 # Delay before retrying a worker that does not answer, times the number of failures, and before
 # starting tasks on a worker that has refused one for lack of capacity.
 RETRY_PAUSE_S = 0.05
@@ -78,12 +77,8 @@
         """Handle the end of a run on the worker."""
 
     @abc.abstractmethod
-    def is_unfinished(self, task: TaskId) -> bool:
-        """Return whether a task of an open job is not done yet."""
-
-    @abc.abstractmethod
-    def can_run_elsewhere(self, session: WorkerSession, step: Step) -> bool:
-        """Return whether another worker in use is large enough for a task of a step."""
+    def may_order_again(self, session: WorkerSession, task: TaskId) -> bool:
+        """Return whether a start order may be sent again, also after a restart of the worker."""
 
     @abc.abstractmethod
     def min_poll_interval_s(self) -> float:
@@ -131,6 +126,7 @@
     :param observer: receives the events of the session.
     :param fence: fencing token of the owner.
     :param loss_detector: shared by the owner's sessions, detects lost answers.
+    :param unanswered_orders: shared by the owner's sessions.
     :param renew_only_adopted: renew no leases while the worker has orphaned runs.
     :ivar orphaned_runs: number of each reported run that belongs to no known job, by task.
     :ivar held: whether the worker has accepted the fencing token and reported its runs.
@@ -152,6 +148,7 @@
         fence: int,
         limits: Limits,
         loss_detector: AnswerLossDetector,
+        unanswered_orders: UnansweredOrders,
         renew_only_adopted: bool = False,
     ) -> None:
         self.info = info
@@ -187,14 +184,11 @@
         )
         self._record_born_ms = info.born_ms
         self._ends = EndAcknowledgements()
-        # Time of each order without an answer, by task and number of the run. The next incarnation
-        # of the worker may execute them, also those that this one refuses.
-        self._unanswered_orders: dict[tuple[TaskId, int], float] = {}
-        # The same of orders to earlier incarnations.
-        self._earlier_orders: dict[tuple[TaskId, int], float] = {}
+        self._unanswered_orders = unanswered_orders
+        # Orders to earlier incarnations whose tasks must not start here, as task and run number.
+        self._orders_to_void: dict[tuple[TaskId, int], None] = {}
         self._runs_being_voided: set[Run] = set()
-        self._keeps_orders_void = False
-        self._poll_lost = asyncio.Event()
+        self._leaves_orders_unanswered = False
         self._loop = asyncio.get_running_loop()
         self._listed = True
         self._unlisted_at = 0.0
@@ -225,16 +219,18 @@
         self._check_record()
         self._listed = previous._listed
         self._unlisted_at = previous._unlisted_at
-        orders = previous._earlier_orders | previous._unanswered_orders
-        self._earlier_orders = {
-            order: at for order, at in orders.items() if self._calls.may_start_late(at)
-        }
         runs = list(previous.runs.values())
         previous.runs.clear()
         for run in runs:
             run.carry_over()
             self._add(run)
-        self._keep_orders_void()
+            if run.confirmed_at is None:
+                self._schedule_start_check(run)
+        self._orders_to_void = {
+            (order.task, order.number): None
+            for order in self._unanswered_orders.of_worker(self.info.id)
+            if order.task not in self.runs
+        }
 
     def set_listed(self, listed: bool) -> None:
         """Set whether the worker is in the platform's list."""
@@ -302,7 +298,7 @@
             and not self.orphaned_runs
             and now >= self.pause_until
             and now >= self.quarantined_until
-            and not (self.on_probation and self.runs)
+            and not ((self.on_probation or self._leaves_orders_unanswered) and self.runs)
         )
 
     def can_serve(self, now: float) -> bool:
@@ -324,6 +320,10 @@
         self.quarantined_until = until
         self.on_probation = True
 
+    def may_move(self, run: Run) -> bool:
+        """Return whether the task of a run could start elsewhere as soon as the run has ended."""
+        return not self._unanswered_orders.may_start(run.task)
+
     def count_runs_of_step(self, job: str, step: int) -> int:
         """Return the number of runs of a step's tasks on this worker."""
         return sum(1 for task in self.runs if task.job == job and task.step == step)
@@ -334,8 +334,9 @@
         """Order a run. The observer is told how it ends."""
         if self._long_poll_until - self._loop.time() > HOLD_WAIT_S:
             self._loop.call_later(HOLD_WAIT_S, self._renew_leases_early, self._long_poll_until)
+        run.spec = spec
         self._add(run)
-        self._tasks.spawn(self._start(run, spec))
+        self._order(run)
 
     def _renew_leases_early(self, long_poll_until: float) -> None:
         """Renew the leases while a long poll of an idle worker is still open.
@@ -378,22 +379,32 @@
         run.answered = True
         self._add(run)
 
-    async def _start(self, run: Run, spec: str) -> None:
+    def _order(self, run: Run) -> None:
+        """Send a start order, for the first time or again."""
+        run.orders_sent += 1
         self._schedule_start_check(run)
-        self._note_order(run)
+        order = None
+        if self._calls.born_ms:
+            order = self._unanswered_orders.add(run.task, run.number, worker_id=self.info.id)
+        self._tasks.spawn(self._start(run, order))
+
+    async def _start(self, run: Run, order: SentOrder | None) -> None:
+        sent_at = self._loop.time()
         try:
-            reply = await self._calls.start(run, spec)
+            reply = await self._calls.start(run)
         except WorkerCallError as error:
-            self._handle_unanswered_start(run, error)
+            self._handle_unanswered_start(run, sent_at, error)
             return
         except WorkerFencedError:
+            self._note_answered(order)
             self._remove_run(run, RunOutcome.NOT_STARTED)
             self._handle_fenced()
             return
         except WorkerReplacedError:
+            self._note_answered(order)
             self._handle_replaced()
             return
-        self._unanswered_orders.pop((run.task, run.number), None)
+        self._note_answered(order)
         run.answered = True
         if reply.status is StartStatus.STARTED:
             run.confirmed_at = run.confirmed_at or self._loop.time()
@@ -402,35 +413,18 @@
             return
         self._handle_refusal(run, reply.status)
 
-    def _note_order(self, run: Run) -> None:
-        """Remember an order until it is answered or can't be executed any more."""
-        orders = self._unanswered_orders
-        while orders and not self._calls.may_start_late(next(iter(orders.values()))):
-            del orders[next(iter(orders))]
-        if self._calls.born_ms:
-            orders[run.task, run.number] = run.ordered_at
-
-    def must_not_reorder(self, task: TaskId, step: Step) -> bool:
-        """Return whether a task has to wait for another worker, after an order without an answer.
-
-        If this worker restarts, the next incarnation may execute each order that is still under
-        way, so that a second order could run the task twice at the same time. Without another
-        worker in use that is large enough, the task is ordered here again.
-        """
-        in_doubt = any(
-            ordered == task and self._calls.may_start_late(at)
-            for (ordered, _), at in self._unanswered_orders.items()
-        )
-        return in_doubt and self._observer.can_run_elsewhere(self, step)
-
-    def _has_orders_in_flight(self) -> bool:
-        return any(self._calls.may_start_late(at) for at in self._unanswered_orders.values())
+    def _note_answered(self, order: SentOrder | None) -> None:
+        if self._leaves_orders_unanswered:
+            self._leaves_orders_unanswered = False
+            self._observer.on_capacity_available()
+        if order is not None:
+            self._unanswered_orders.discard(order)
 
-    def _handle_unanswered_start(self, run: Run, error: WorkerCallError) -> None:
-        """Leave the outcome of a start open until a later poll shows whether the task runs.
+    def _handle_unanswered_start(self, run: Run, sent_at: float, error: WorkerCallError) -> None:
+        """Leave the outcome of a start open until the worker confirms or reports the run.
 
-        The worker refuses the order once its deadline has passed. It is not silent if it has
-        answered another call since the order was sent.
+        The worker refuses the order once its deadline has passed, unless it restarts. It is not
+        silent if it has answered another call since the order was sent.
         """
         log.warning(
             'start_unanswered worker=%s task=%s run=%d error="%s"',
@@ -440,25 +434,70 @@
             error,
         )
         run.answered = True
-        if self.last_answer_at < run.ordered_at:
+        if self.last_answer_at < sent_at:
             self.silent = True
 
     def _schedule_start_check(self, run: Run) -> None:
-        due_at = self._loop.time() + self._calls.answer_timeout_s()
+        delay_s = choose_order_retry_s(
+            copies=run.orders_sent, answer_timeout_s=self._calls.answer_timeout_s()
+        )
+        due_at = self._loop.time() + delay_s
         self._loop.call_at(due_at, self._check_start, run, due_at)
 
     def _check_start(self, run: Run, due_at: float) -> None:
         """Resolve the outcome of a start order whose answer is overdue.
 
-        If the event loop lags, the answer may be waiting in a socket buffer. The two additional
-        calls for each start would increase the lag, so the check is rescheduled instead.
+        If the event loop lags, the answer may be waiting in a socket buffer. The additional calls
+        for each start would increase the lag, so the check is rescheduled instead.
         """
-        if run.answered or run.confirmed_at is not None or self.runs.get(run.task) is not run:
+        if run.confirmed_at is not None or self.runs.get(run.task) is not run:
+            return
+        repeats = bool(self._calls.born_ms)
+        if run.answered and not repeats:
             return
         if self._loop.time() - due_at > MAX_LOOP_LAG_S:
             self._schedule_start_check(run)
+        elif repeats and not run.stopping:
+            self._order_again(run)
         else:
-            self._tasks.spawn(self._resolve_start(run))
+            if repeats:
+                self._schedule_start_check(run)
+            if run not in self._runs_being_voided:
+                self._tasks.spawn(self._resolve_start(run))
+
+    def _order_again(self, run: Run) -> None:
+        """Send a start order again, as far as the worker can be expected to execute it.
+
+        Until the order is answered, or can't be executed any more, its task starts nowhere else:
+        after a restart the worker could execute an earlier copy at any time.
+        """
+        if leaves_orders_unanswered(copies=run.orders_sent):
+            self._leaves_orders_unanswered = True
+        if not self._may_order_again(run):
+            self._schedule_start_check(run)
+            return
+        log.info(
+            "start_repeated worker=%s task=%s run=%d copies=%d",
+            self.info.id,
+            run.task,
+            run.number,
+            run.orders_sent,
+        )
+        self._order(run)
+
+    def _may_order_again(self, run: Run) -> bool:
+        now = self._loop.time()
+        return (
+            self.held
+            and not self.silent
+            and not self.fenced
+            and not self.awaits_record
+            and self.is_schedulable()
+            and now >= self.pause_until
+            and now < run.ordered_at + MAX_ORDER_DELAY_S
+            and min(self.free_cpu, self.free_memory, self.free_gpu) >= 0
+            and self._observer.may_order_again(self, run.task)
+        )
 
     async def _resolve_start(self, run: Run) -> None:
         """Determine the outcome of a start order without an answer.
@@ -470,8 +509,7 @@
         """
         self._runs_being_voided.add(run)
         try:
-            if not run.carried:
-                await self._hold(0.0)
+            await self._hold(0.0)
             if run.confirmed_at is not None or self.runs.get(run.task) is not run:
                 return
             await self._calls.stop(run.task, run.number)
@@ -490,87 +528,18 @@
             self._runs_being_voided.discard(run)
 
     def _void_earlier_orders(self) -> None:
-        """Let the worker refuse the unanswered orders that were sent to earlier incarnations.
-
-        A stop order that fails is sent again after the next answer of the worker. The tasks of
-        orders without a run here may be running elsewhere by now.
-        """
-        for run in self.runs.values():
-            in_doubt = run.carried and run.confirmed_at is None and run.voided_at is None
-            if in_doubt and run not in self._runs_being_voided:
-                self._tasks.spawn(self._resolve_start(run))
-        orders, self._earlier_orders = self._earlier_orders, {}
-        for (task, number), ordered_at in orders.items():
-            if not self._calls.may_start_late(ordered_at):
-                continue
-            # The incarnation after this one would have to be told again.
-            self._unanswered_orders[task, number] = ordered_at
-            run = self.runs.get(task)
-            if run is None or run.number != number:
-                self._tasks.spawn(self._void_earlier_order(task, number, ordered_at))
-
-    def _orders_to_keep_void(self) -> list[tuple[TaskId, int]]:
-        """Return the orders that must not be executed, as their tasks are or will be elsewhere."""
-        orders = self._earlier_orders | self._unanswered_orders
-        return [
-            (task, number)
-            for (task, number), ordered_at in orders.items()
-            if self._calls.may_start_late(ordered_at)
-            and (task not in self.runs or self.runs[task].number != number)
-            and self._observer.is_unfinished(task)
-        ]
+        """Let the worker refuse the orders to earlier incarnations that are not to run here.
 
-    def _keep_orders_void(self) -> None:
-        if not self._keeps_orders_void and self._orders_to_keep_void():
-            self._keeps_orders_void = True
-            self._tasks.spawn(self._void_orders_repeatedly())
-
-    async def _void_orders_repeatedly(self) -> None:
-        """Repeat the stop orders until the tasks are done or the orders can't be executed.
-
-        The worker may restart at any time, and a stop order counts only for the process that it
-        reaches. The first poll that it answers after a restart would be too late for an order that
-        arrives before.
+        A stop order that fails is sent again after the next answer of the worker.
         """
-        while orders := self._orders_to_keep_void():
-            answers = self._calls.answers_polls and not self.silent
-            at_once = answers or self._poll_lost.is_set()
-            interval_s = choose_void_interval_s(
-                answers=answers, min_poll_interval_s=self._observer.min_poll_interval_s()
-            )
-            self._poll_lost.clear()
-            self._tasks.spawn(self._void_orders(orders, at_once=at_once))
-            try:
-                async with asyncio.timeout(interval_s):
-                    await self._poll_lost.wait()
-            except TimeoutError:
-                pass  # The next stop orders are due.
-        self._keeps_orders_void = False
-
-    async def _void_orders(self, orders: list[tuple[TaskId, int]], *, at_once: bool) -> None:
-        """Send stop orders.
+        orders, self._orders_to_void = self._orders_to_void, {}
+        for task, number in orders:
+            if task not in self.runs and self._unanswered_orders.may_start(task):
+                self._tasks.spawn(self._void_earlier_order(task, number))
 
-        :param at_once: send all at once; otherwise the others follow when the first is answered.
-        """
-        first, *rest = orders
-        if at_once or await self._void_order(*first):
-            for task, number in orders if at_once else rest:
-                self._tasks.spawn(self._void_order(task, number))
-
-    async def _void_order(self, task: TaskId, number: int) -> bool:
-        """Send a stop order that is repeated anyway; return whether it was answered."""
-        try:
-            await self._calls.stop(task, number, timeout_s=VOID_TIMEOUT_S)
-            return True
-        except (WorkerCallError, WorkerReplacedError):
-            return False
-        except WorkerFencedError:
-            self._handle_fenced()
-            return False
-
-    async def _void_earlier_order(self, task: TaskId, number: int, ordered_at: float) -> None:
+    async def _void_earlier_order(self, task: TaskId, number: int) -> None:
         if not await self._stop(task, number):
-            self._earlier_orders[task, number] = ordered_at
+            self._orders_to_void[task, number] = None
 
     def _handle_refusal(self, run: Run, status: StartStatus) -> None:
         log.info(
@@ -585,8 +554,11 @@
             pause_s = UNHEALTHY_PAUSE_S if status is StartStatus.UNHEALTHY else RETRY_PAUSE_S
             self.pause_until = self._loop.time() + pause_s
             self._loop.call_later(pause_s, self._observer.on_capacity_available)
-        outcome = RunOutcome.FAILED if status is StartStatus.INVALID else RunOutcome.NOT_STARTED
-        self._remove_run(run, outcome)
+        if status is StartStatus.INVALID:
+            self._unanswered_orders.discard_task(run.task)
+            self._remove_run(run, RunOutcome.FAILED)
+        elif not self._unanswered_orders.may_start(run.task):
+            self._remove_run(run, RunOutcome.NOT_STARTED)
 
     async def _stop(self, task: TaskId, number: int) -> bool:
         """Send a stop order; return whether the worker has answered it."""
@@ -641,8 +613,8 @@
         pause_s = min(RETRY_PAUSE_S * failures, MAX_RETRY_PAUSE_S)
         if not self._listed or self.replaced:
             pause_s = UNLISTED_PAUSE_S
-        elif self._has_orders_in_flight():
-            # If the worker restarts, it must be told to refuse these orders before they arrive.
+        elif self._unanswered_orders.is_expected_at(self.info.id):
+            # Tasks wait for this worker, or it must be told to refuse orders if it restarts.
             pause_s = RETRY_PAUSE_S
         self._retry.clear()
         try:
@@ -673,7 +645,6 @@
         except WorkerCallError as error:
             late_s = self._loop.time() - now - wait_s - answer_timeout_s
             log.info('hold_lost worker=%s error="%s"', self.info.id, error)
-            self._poll_lost.set()
             asked_at = self._loop.time()
             await self._hold(0.0)
             self._loss_detector.note_timeout(
@@ -742,16 +713,27 @@
             self._note_active_run(row, reply.clock_ms, now)
         for run in list(self.runs.values()):
             if run.task not in listed and self._is_run_gone(run, reply.clock_ms, sent_at):
-                outcome = (
-                    RunOutcome.LOST if run.confirmed_at is not None else RunOutcome.NOT_STARTED
-                )
-                self._remove_run(run, outcome)
+                self._handle_missing_run(run)
         for task in list(self.orphaned_runs):
             if task not in listed:
                 del self.orphaned_runs[task]
         self._void_earlier_orders()
         self._observer.on_progress_reported(self, reply.clock_ms)
 
+    def _handle_missing_run(self, run: Run) -> None:
+        """Handle a run that the worker neither reports nor can start by an order that it refuses.
+
+        A run that was lost with an earlier incarnation is ordered again here if this one may
+        execute an earlier copy of its order.
+        """
+        if run.confirmed_at is None:
+            self._remove_run(run, RunOutcome.NOT_STARTED)
+        elif run.carried and not run.stopping and self._unanswered_orders.may_start(run.task):
+            run.confirmed_at = None
+            self._schedule_start_check(run)
+        else:
+            self._remove_run(run, RunOutcome.LOST)
+
     def _process_end(self, row: EndedRun) -> None:
         self._ends.processed = row.number
         self.orphaned_runs.pop(row.task, None)
@@ -796,8 +778,8 @@
             return sent_at > run.confirmed_at
         if run.voided_at is not None:
             return sent_at >= run.voided_at
-        if run.carried:
-            return False
+        if self._calls.born_ms and (run.carried or not run.stopping):
+            return not self._unanswered_orders.may_start(run.task)
         return run.answered and sent_at > run.ordered_at and clock_ms > run.start_deadline_ms
 
     # -- capacity ---------------------------------------------------------------------------
@@ -829,8 +811,6 @@
         if self.runs.get(run.task) is not run:
             return
         del self.runs[run.task]
-        if (run.task, run.number) in self._unanswered_orders:
-            self._keep_orders_void()
         self._last_run_ended_at = self._loop.time()
         self._used_cpu -= run.cpu
         self._used_memory -= run.memory_mb
@@ -844,17 +824,14 @@
         earlier one has not answered, long after its deadline.
         """
         self.orphaned_runs.clear()
-        expired = [run for run in self.runs.values() if not self._may_start_late(run)]
+        expired = [
+            run for run in self.runs.values() if not self._unanswered_orders.may_start(run.task)
+        ]
         if expired:
             log.warning("lease_lapsed worker=%s runs=%d", self.info.id, len(expired))
         for run in expired:
             self._remove_run(run, RunOutcome.LOST)
 
-    def _may_start_late(self, run: Run) -> bool:
-        if run.confirmed_at is not None or not self._calls.born_ms:
-            return False
-        return self._calls.may_start_late(run.ordered_at)
-
     def _abandon_runs(self) -> None:
         """Count all runs as lost, since another worker has taken the address."""
         self.orphaned_runs.clear()
--- a/zincwell/dispatch/decisions/__init__.py
+++ b/zincwell/dispatch/decisions/__init__.py
@@ -40,11 +40,14 @@
     may_start_late,
 )
 from zincwell.dispatch.decisions._offered_load import OfferedLoad
+from zincwell.dispatch.decisions._order_retries import (
+    choose_order_retry_s,
+    leaves_orders_unanswered,
+)
 from zincwell.dispatch.decisions._polling import (
     MAX_LOOP_LAG_S,
     AnswerLossDetector,
     choose_long_poll_wait_s,
-    choose_void_interval_s,
     min_poll_interval_s,
 )
 from zincwell.dispatch.decisions._run_time_estimates import SLOW_WORKER_RATIO, RunTimeEstimator
@@ -107,9 +110,9 @@
     "chance_in_time",
     "choose_classes",
     "choose_long_poll_wait_s",
+    "choose_order_retry_s",
     "choose_other_cell",
     "choose_retry_after_s",
-    "choose_void_interval_s",
     "classify_run",
     "compare_incarnation",
     "count_waves",
@@ -124,6 +127,7 @@
     "judge_late_job",
     "judge_worker",
     "latest_useful_age_s",
+    "leaves_orders_unanswered",
     "may_start_late",
     "meets_objective",
     "min_poll_interval_s",
--- a/zincwell/dispatch/decisions/_polling.py
+++ b/zincwell/dispatch/decisions/_polling.py
@@ -11,10 +11,6 @@
 workers served 107 of 2,264 jobs. A call therefore counts as lost only if the next one is answered
 within the time that the first was given, and polling never takes more than a bounded share of the
 processor.
-
-A worker that leaves start orders unanswered may execute them seconds later, and after a restart it
-does not refuse them. Their tasks run elsewhere by then, so it is told again to refuse them at short
-intervals.
 """
 
 from __future__ import annotations
@@ -39,14 +35,6 @@
 POLL_COST_S = 0.0005
 # Share of the owner's processor that polls may take; the rest is for starts and jobs.
 POLL_CPU_SHARE = 0.25
-# Intervals at which a worker is told again to refuse orders without an answer, whose tasks run
-# elsewhere, while it answers and while it does not. If it restarts, the next process does not know
-# of them and executes those that arrive before the next stop order.
-VOID_REPEAT_S = 0.05
-SILENT_VOID_REPEAT_S = 0.01
-# The share of the polling interval that an owner can sustain for stop orders to silent workers:
-# only workers with such orders get them.
-SILENT_VOID_SHARE = 1 / 3
 # A worker without runs for IDLE_AFTER_S seconds is polled only every IDLE_POLL_WAIT_S seconds. In
 # a pool of 1,500 idle workers, four polls a second to each would be 6,000 with nothing to report.
 IDLE_AFTER_S = 1.0
@@ -91,17 +79,6 @@
     return max(MIN_WAIT_S, workers * POLL_COST_S / (cores * POLL_CPU_SHARE))
 
 
-def choose_void_interval_s(*, answers: bool, min_poll_interval_s: float) -> float:
-    """Return the interval between stop orders for an order that must not be executed.
-
-    :param answers: whether the worker has answered the last poll.
-    :param min_poll_interval_s: shortest interval between polls that the owner can sustain.
-    """
-    if answers:
-        return max(VOID_REPEAT_S, min_poll_interval_s)
-    return max(SILENT_VOID_REPEAT_S, min_poll_interval_s * SILENT_VOID_SHARE)
-
-
 def choose_long_poll_wait_s(
     *,
     max_wait_s: float,
