--- a/tests/placement_replay.py
+++ b/tests/placement_replay.py
@@ -251,6 +251,7 @@
             sessions_by_id=self.sessions,
             may_start_tasks=lambda now: True,
             may_have_orphaned_runs=lambda job, now: False,
+            may_run_unseen=lambda task: False,
             next_run_number=lambda task: 1,
             run_times=self.run_times,
             worker_list_age_s=lambda: 0.0,
