Keep a run that one copy of its order has started when another copy is refused

With an answer that takes about as long as the answer timeout, the order is sent a second time. A confirmed run now ends only by the worker's reports, and an answer for a run that was given up leaves its order unanswered, so that the task starts nowhere else.

The checks whether a worker may restart under its id have a name.

--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -171,6 +171,36 @@
     assert_that(set(starts_of(world)), Equals({worker.info.id}))
 
 
+@pytest.mark.parametrize("answer_s", [0.0195, 0.03])
+async def test_a_refused_copy_does_not_end_the_run_of_another(
+    world: World, monkeypatch: pytest.MonkeyPatch, answer_s: float
+):
+    # Guards against concurrent runs: the answer to an order is slow, the worker refuses the second
+    # copy, and the task starts elsewhere although the first copy has started it.
+    worker = await open_world(world)
+    execute, orders = worker.start, []
+    start = FakeWorkerClient.start
+
+    def refuse_second_copy(order):
+        orders.append(order)
+        return execute(order) if len(orders) == 1 else StartReply(status=StartStatus.TOO_LATE)
+
+    async def answer_slowly(client, info, order, *, timeout_s):
+        reply = await start(client, info, order, timeout_s=timeout_s)
+        if len(orders) == 1:
+            await asyncio.sleep(answer_s)
+        return reply
+
+    monkeypatch.setattr(worker, "start", refuse_second_copy)
+    monkeypatch.setattr(FakeWorkerClient, "start", answer_slowly)
+    use_only(world, worker, for_s=0.01)
+    job = submit(world, other_than(world, *world.owners()), "job", count=1, run_ms=300)
+    await finish([job])
+    assert_that(orders, HasLength(2))
+    assert_that(starts_of(world), Equals([worker.info.id]))
+    assert_that(verdicts([job]), Equals({Verdict.SUCCEEDED}))
+
+
 async def test_a_lost_order_costs_little_time(world: World):
     # Guards against jobs of 60 ms that wait for tenths of a second while orders are lost at random.
     worker = await open_world(world)
--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -268,6 +268,10 @@
         """The worker's incarnation, 0 if it sends none, None if that is not known yet."""
         return self._calls.born_ms
 
+    @property
+    def _may_restart_under_its_id(self) -> bool:
+        return bool(self._calls.born_ms)
+
     def _check_record(self) -> None:
         # Kept as a value, since each placement asks for it once for each worker.
         self.awaits_record = is_record_missing(
@@ -384,7 +388,7 @@
         run.orders_sent += 1
         self._schedule_start_check(run)
         order = None
-        if self._calls.born_ms:
+        if self._may_restart_under_its_id:
             order = self._unanswered_orders.add(run.task, run.number, worker_id=self.info.id)
         self._tasks.spawn(self._start(run, order))
 
@@ -397,13 +401,17 @@
             return
         except WorkerFencedError:
             self._note_answered(order)
-            self._remove_run(run, RunOutcome.NOT_STARTED)
+            if run.confirmed_at is None:
+                self._remove_run(run, RunOutcome.NOT_STARTED)
             self._handle_fenced()
             return
         except WorkerReplacedError:
             self._note_answered(order)
             self._handle_replaced()
             return
+        if reply.status is StartStatus.STARTED and self.runs.get(run.task) is not run:
+            # The run was given up, and its task must not start elsewhere while it may be active.
+            return
         self._note_answered(order)
         run.answered = True
         if reply.status is StartStatus.STARTED:
@@ -452,18 +460,18 @@
         """
         if run.confirmed_at is not None or self.runs.get(run.task) is not run:
             return
-        repeats = bool(self._calls.born_ms)
-        if run.answered and not repeats:
+        if run.answered and not self._may_restart_under_its_id:
             return
         if self._loop.time() - due_at > MAX_LOOP_LAG_S:
             self._schedule_start_check(run)
-        elif repeats and not run.stopping:
-            self._order_again(run)
-        else:
-            if repeats:
-                self._schedule_start_check(run)
+        elif not self._may_restart_under_its_id:
+            self._tasks.spawn(self._resolve_start(run))
+        elif run.stopping:
+            self._schedule_start_check(run)
             if run not in self._runs_being_voided:
                 self._tasks.spawn(self._resolve_start(run))
+        else:
+            self._order_again(run)
 
     def _order_again(self, run: Run) -> None:
         """Send a start order again, as far as the worker can be expected to execute it.
@@ -542,6 +550,9 @@
             self._orders_to_void[task, number] = None
 
     def _handle_refusal(self, run: Run, status: StartStatus) -> None:
+        """Handle an order that starts no run; another copy of it may have started it."""
+        if run.confirmed_at is not None:
+            return
         log.info(
             "start_refused worker=%s task=%s run=%d status=%s free_cpu=%d",
             self.info.id,
@@ -769,7 +780,8 @@
     def _is_run_gone(self, run: Run, clock_ms: int, sent_at: float) -> bool:
         """Return whether a run that the worker does not report has ended or can't start any more.
 
-        A worker refuses runs that it was ordered to stop, and start orders past their deadline.
+        A worker refuses runs that it was ordered to stop, and start orders past their deadline. If
+        it restarts, it refuses neither, so a run that is to take place waits for its order.
 
         :param clock_ms: time of the report on the worker's clock.
         :param sent_at: when the poll was sent.
@@ -778,7 +790,7 @@
             return sent_at > run.confirmed_at
         if run.voided_at is not None:
             return sent_at >= run.voided_at
-        if self._calls.born_ms and (run.carried or not run.stopping):
+        if self._may_restart_under_its_id and (run.carried or not run.stopping):
             return not self._unanswered_orders.may_start(run.task)
         return run.answered and sent_at > run.ordered_at and clock_ms > run.start_deadline_ms
 
