Schedule the check of a start order where it was scheduled before

Events of the simulated platform that take place at one time follow the order in which their timers were made.

--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -386,13 +386,13 @@
     def _order(self, run: Run) -> None:
         """Send a start order, for the first time or again."""
         run.orders_sent += 1
-        self._schedule_start_check(run)
         order = None
         if self._may_restart_under_its_id:
             order = self._unanswered_orders.add(run.task, run.number, worker_id=self.info.id)
         self._tasks.spawn(self._start(run, order))
 
     async def _start(self, run: Run, order: SentOrder | None) -> None:
+        self._schedule_start_check(run)
         sent_at = self._loop.time()
         try:
             reply = await self._calls.start(run)
