Send no order again for an owner that is closed

The check of an order without an answer is a timer, which the closing of a session does not cancel. It went on sending stop orders for the runs of jobs that had ended, and by its polls could have taken a worker for held and sent start orders, under a fencing token that a worker that has restarted accepts.

--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -201,6 +201,30 @@
     assert_that(verdicts([job]), Equals({Verdict.SUCCEEDED}))
 
 
+@pytest.mark.parametrize("gives_up", [True, False])
+async def test_an_owner_that_is_closed_sends_nothing_again(
+    world: World, monkeypatch: pytest.MonkeyPatch, gives_up: bool
+):
+    # Guards against orders under an old fencing token, which a worker that has restarted executes.
+    worker = await open_world(world)
+    owner = world.owners()[0]
+    fields = {"timeout_ms": 30} if gives_up else {}
+    await lose_orders(world, worker, for_s=0.04, **fields)
+    callers: list[str] = []
+    for name in ("start", "stop"):
+        call = getattr(FakeWorkerClient, name)
+
+        def record(client, *arguments, call=call, **options):
+            callers.append(client._me[0])
+            return call(client, *arguments, **options)
+
+        monkeypatch.setattr(FakeWorkerClient, name, record)
+    world.kill_node(owner)
+    callers.clear()
+    await asyncio.sleep(3)
+    assert_that(owner in callers, Equals(False))
+
+
 async def test_a_lost_order_costs_little_time(world: World):
     # Guards against jobs of 60 ms that wait for tenths of a second while orders are lost at random.
     worker = await open_world(world)
--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -189,6 +189,7 @@
         self._orders_to_void: dict[tuple[TaskId, int], None] = {}
         self._runs_being_voided: set[Run] = set()
         self._leaves_orders_unanswered = False
+        self._closed = False
         self._loop = asyncio.get_running_loop()
         self._listed = True
         self._unlisted_at = 0.0
@@ -203,6 +204,7 @@
 
     def close(self) -> None:
         """Stop polling and cancel open calls."""
+        self._closed = True
         self.held = False
         self._tasks.close()
 
@@ -458,7 +460,7 @@
         If the event loop lags, the answer may be waiting in a socket buffer. The additional calls
         for each start would increase the lag, so the check is rescheduled instead.
         """
-        if run.confirmed_at is not None or self.runs.get(run.task) is not run:
+        if self._closed or run.confirmed_at is not None or self.runs.get(run.task) is not run:
             return
         if run.answered and not self._may_restart_under_its_id:
             return
