Send no poll for an owner that is closed

The early extension of leases during a long poll is a timer, which the closing of a session does not cancel: a closed owner sent one more poll. The test of closed owners now counts polls as well.

--- a/tests/test_late_orders.py
+++ b/tests/test_late_orders.py
@@ -211,7 +211,7 @@
     fields = {"timeout_ms": 30} if gives_up else {}
     await lose_orders(world, worker, for_s=0.04, **fields)
     callers: list[str] = []
-    for name in ("start", "stop"):
+    for name in ("start", "stop", "hold"):
         call = getattr(FakeWorkerClient, name)
 
         def record(client, *arguments, call=call, **options):
--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -351,7 +351,8 @@
         owner fails, and expire before the next owner renews it.
         """
         if (
-            self._long_poll_until == long_poll_until
+            not self._closed
+            and self._long_poll_until == long_poll_until
             and self._loop.time() < long_poll_until
             and self.runs
         ):
