Log how long a submission was on its way, and what goes on unannounced

Adds delay_ms and moved to job_taken, job_submitted, late_answer, job_unannounced and stood_still. No decision changes.

--- a/zincwell/dispatch/_announcements.py
+++ b/zincwell/dispatch/_announcements.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import math
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
@@ -14,7 +15,9 @@
 from zincwell.dispatch._jobs import Job
 from zincwell.dispatch._messages import CellReport
 from zincwell.dispatch._types import EntryInfo
-from zincwell.dispatch.decisions import ANNOUNCE_BY_S, must_end_job
+from zincwell.dispatch.decisions import ANNOUNCE_BY_S, is_out_of_contact, must_end_job
+
+log = logging.getLogger("zincwell.cells")
 
 
 @dataclass(slots=True, kw_only=True)
@@ -39,6 +42,8 @@
 
     def __init__(self) -> None:
         self._views_by_cell: dict[str, _CellView] = {}
+        # Ids of open jobs that were logged as unannounced.
+        self._unannounced: set[str] = set()
         self._loop = asyncio.get_running_loop()
 
     def set_owners(self, owners_by_cell: Mapping[str, EntryInfo]) -> None:
@@ -69,8 +74,21 @@
         now = self._loop.time()
         views = self._views_by_cell.values()
         old_jobs = [job for job in jobs if now - job.arrived_at > ANNOUNCE_BY_S]
+        self._log_unannounced(old_jobs)
         return [job for job in old_jobs if any(_must_end(job, view, now) for view in views)]
 
+    def _log_unannounced(self, old_jobs: list[Job]) -> None:
+        """Log the jobs that go on although the owner of another cell was not told of them."""
+        known = self._unannounced
+        self._unannounced = set()
+        for job in old_jobs:
+            for cell, view in self._views_by_cell.items():
+                if not is_out_of_contact(job.arrived_at, acknowledged_at=view.acknowledged_at):
+                    continue
+                if job.request.id not in known | self._unannounced:
+                    log.info("job_unannounced job=%s cell=%s", job.request.id, cell)
+                self._unannounced.add(job.request.id)
+
 
 def _must_end(job: Job, view: _CellView, now: float) -> bool:
     return must_end_job(
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -107,6 +107,8 @@
 # are sent to other cells based on reports of up to this age, so the jobs of a burst stay queued
 # in the home cell for as long.
 HEARTBEATS_PER_REPORT = 2
+# An owner whose heartbeat is late by more than this stood still, and logs it.
+STOOD_STILL_S = 0.3
 # After a layout change, runs started under the previous layout may be active on any worker for
 # this long: until their lease expires and the new owners have stopped the runs that no job claims.
 LAYOUT_SETTLE_S = 3.0
@@ -528,8 +530,9 @@
         late = late_s > LATE_DELIVERY_S
         if self._inbox.is_new(envelope):
             for message in envelope.messages:
+                if late and isinstance(message, Submit | JobEnded):
+                    self._log_late(envelope.sender, message, late_s=late_s)
                 if late and isinstance(message, Submit):
-                    log.info("late_job job=%s entry=%s", message.job.id, envelope.sender.name)
                     continue
                 self._handle(envelope.sender, message, delay_s=envelope.waited_s + late_s)
         self.configurations.note_version(envelope.sender, envelope.version)
@@ -546,6 +549,13 @@
             cancelled=self._directory.undelivered_cancellations(envelope.sender),
         )
 
+    def _log_late(self, sender: EntryInfo, message: Submit | JobEnded, *, late_s: float) -> None:
+        if isinstance(message, Submit):
+            event, job_id = "late_job", message.job.id
+        else:
+            event, job_id = "late_answer", message.job
+        log.info("%s job=%s entry=%s late_ms=%d", event, job_id, sender.name, late_s * 1000)
+
     def _handle(self, sender: EntryInfo, message: Message, *, delay_s: float = 0.0) -> None:
         """Dispatch one message to its handler.
 
@@ -894,6 +904,8 @@
 
     def _check_owner_lag(self, due_at: float) -> None:
         now = self._loop.time()
+        if now - due_at > STOOD_STILL_S:
+            log.warning("stood_still late_ms=%d", (now - due_at) * 1000)
         had_to_hand_over = self._owner_lag.should_hand_over
         self._owner_lag.note_heartbeat(now - due_at, now)
         if self._owner_lag.should_hand_over and not had_to_hand_over:
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -365,13 +365,16 @@
         self._adopt_existing_runs(job)
         self._overload.note_arrival(job, self._loop.time())
         log.info(
-            "job_taken job=%s entry=%s cell=%s fence=%d age_ms=%d exposed=%s tasks=%d waiting=%d",
+            "job_taken job=%s entry=%s cell=%s fence=%d age_ms=%d delay_ms=%d exposed=%s moved=%s"
+            " tasks=%d waiting=%d",
             request.id,
             entry,
             self._cell,
             self.fence,
             age_s * 1000,
+            delay_s * 1000,
             possibly_started,
+            moved,
             sum(job.unfinished_by_step),
             job.waiting,
         )
--- a/zincwell/dispatch/_pending_jobs.py
+++ b/zincwell/dispatch/_pending_jobs.py
@@ -446,6 +446,16 @@
             pending.possibly_started = True
         pending.submitted_fence, pending.owner = fence, self._channel.owner(pending.cell)
         pending.submitted_at = self._loop.time()
+        if pending.cell != self._channel.home_cell() or pending.resubmitted:
+            log.info(
+                "job_submitted job=%s cell=%s fence=%d owner=%s again=%s age_ms=%d",
+                pending.request.id,
+                pending.cell,
+                fence,
+                pending.owner.name if pending.owner is not None else "",
+                pending.resubmitted,
+                (pending.submitted_at - pending.arrived_at) * 1000,
+            )
         self._channel.submit(
             pending.cell,
             Submit(
--- a/zincwell/dispatch/decisions/__init__.py
+++ b/zincwell/dispatch/decisions/__init__.py
@@ -43,6 +43,7 @@
     ANNOUNCE_AFTER_S,
     ANNOUNCE_BY_S,
     ANNOUNCEMENT_KEPT_S,
+    is_out_of_contact,
     must_end_job,
 )
 from zincwell.dispatch.decisions._offered_load import OfferedLoad
@@ -129,6 +130,7 @@
     "group_by_speed",
     "is_move_worthwhile",
     "is_on_time",
+    "is_out_of_contact",
     "is_record_missing",
     "is_slow_run",
     "is_slow_worker",
--- a/zincwell/dispatch/decisions/_job_leases.py
+++ b/zincwell/dispatch/decisions/_job_leases.py
@@ -29,6 +29,16 @@
 ANNOUNCEMENT_KEPT_S = ANNOUNCEMENT_LEASE_S + 2.0
 
 
+def is_out_of_contact(requested_at: float, *, acknowledged_at: float) -> bool:
+    """Return whether a cell was out of contact before a job was requested.
+
+    :param requested_at: when the caller sent the job, in seconds.
+    :param acknowledged_at: when the newest report that an owner of the cell has acknowledged was
+        made.
+    """
+    return acknowledged_at < requested_at - OUT_OF_CONTACT_S
+
+
 def must_end_job(
     *, requested_at: float, accepted_at: float, acknowledged_at: float, now: float
 ) -> bool:
@@ -41,7 +51,7 @@
     :param acknowledged_at: when the newest report that an owner of the other cell has acknowledged
         was made.
     """
-    if acknowledged_at < requested_at - OUT_OF_CONTACT_S:
+    if is_out_of_contact(requested_at, acknowledged_at=acknowledged_at):
         return False
     if acknowledged_at >= max(requested_at + ANNOUNCE_AFTER_S, accepted_at):
         return now - acknowledged_at > ANNOUNCEMENT_LEASE_S
