Show a job in two cells whose first submission is held up

An entry sends a job to the owner of another cell, since its own cell is busy. The message is held up, the caller gets "unknown" after its timeout, comes back 1.3 s later, and its job runs in the own cell.

--- /dev/null
+++ b/tests/test_held_up_submissions.py
@@ -0,0 +1,131 @@
+"""Submissions that are held up on their way to the owner of another cell."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from testtools.assertions import assert_that
+from testtools.matchers import Equals
+
+from tests.dispatch_world import World
+from tests.pool_jobs import finish, submit, verdicts
+from zincwell.dispatch._types import Verdict
+
+pytestmark = pytest.mark.looptime
+
+# Callers send a job again this long after they got no answer, or "unknown".
+RETRANSMIT_S = 1.3
+TIMEOUT_MS = 1548
+RUN_MS = 4000
+
+
+async def occupy(world: World, zone: str) -> asyncio.Task:
+    """Occupy the workers of a zone for 2.4 s, so that new jobs of its callers go elsewhere."""
+    name = f"busy-{world.loop.time()}"
+    busy = submit(world, world.owner_in(zone), name, count=32, run_ms=1200)
+    await asyncio.sleep(0.5)
+    return busy
+
+
+def hold_up(world: World, entry: str) -> None:
+    """Hold up all that an entry sends to the owners of other cells."""
+    for owner in world.owners():
+        if owner[2] != entry[2]:
+            world.delayed_links.add((entry, owner))
+
+
+async def come_back(world: World, first: asyncio.Task, entry: str) -> asyncio.Task:
+    """Wait for the answer to a job's first submission, and send it again to another entry."""
+    await finish([first])
+    await asyncio.sleep(RETRANSMIT_S)
+    return submit(world, entry, "job", run_ms=RUN_MS, timeout_ms=TIMEOUT_MS)
+
+
+async def submit_held_up(world: World, entry: str) -> asyncio.Task:
+    """Submit a job that its entry sends to another cell, where it does not arrive for now."""
+    await occupy(world, entry[2])
+    hold_up(world, entry)
+    return submit(world, entry, "job", run_ms=RUN_MS, timeout_ms=TIMEOUT_MS)
+
+
+@pytest.mark.parametrize("late_s", [0.05, 0.5, 1.3])
+async def test_a_first_submission_that_is_held_up_starts_nothing(world: World, late_s: float):
+    # Failure: two concurrent runs of one task. The first message of an entry to the owner of
+    # another cell has a job and is held up until its caller has come back to the own cell.
+    await world.open_cells()
+    entry = world.entry_in("b")
+    first = await submit_held_up(world, entry)
+    again = await come_back(world, first, world.owner_in("b"))
+    await asyncio.sleep(late_s)
+    world.deliver_late()
+    await finish([again])
+    await asyncio.sleep(2)
+    assert_that(world.violations, Equals([]))
+
+
+async def test_a_held_up_submission_of_a_restarted_entry_starts_nothing(world: World):
+    # Failure: the same. The owner has heard from the entry, but not from its new process.
+    await world.open_cells()
+    entry = world.entry_in("b")
+    await occupy(world, "b")
+    earlier = submit(world, entry, "earlier", run_ms=100)
+    await finish([earlier])
+    world.kill_node(entry)
+    world.add_node(entry, "b", cores=8 / 50)
+    await asyncio.sleep(3)
+    first = await submit_held_up(world, entry)
+    again = await come_back(world, first, world.owner_in("b"))
+    await asyncio.sleep(0.1)
+    world.deliver_late()
+    await finish([again])
+    assert_that(world.violations, Equals([]))
+
+
+async def test_a_submission_that_is_held_up_beyond_a_restart_of_the_owner_starts_nothing(
+    world: World,
+):
+    # Failure: the same. All entries of the other cell restart meanwhile, so that its new owner has
+    # never heard from the sender.
+    await world.open_cells(entries=2)
+    entry = world.entry_in("b")
+    first = await submit_held_up(world, entry)
+    await asyncio.sleep(0.1)
+    for name in [name for name in world.nodes if name[2] != "b"]:
+        world.kill_node(name)
+        world.add_node(name, name[2], cores=8 / 50)
+    again = await come_back(world, first, world.owner_in("b"))
+    await asyncio.sleep(0.1)
+    world.deliver_late()
+    await finish([again])
+    assert_that(world.violations, Equals([]))
+
+
+async def test_a_submission_that_is_held_up_long_after_the_last_message_starts_nothing(
+    world: World,
+):
+    # Failure: the same. The owner has not heard from the entry for two minutes, and has forgotten
+    # how their clocks compare.
+    await world.open_cells()
+    entry = world.entry_in("b")
+    await occupy(world, "b")
+    await finish([submit(world, entry, "earlier", run_ms=100)])
+    await asyncio.sleep(125)
+    first = await submit_held_up(world, entry)
+    again = await come_back(world, first, world.owner_in("b"))
+    await asyncio.sleep(0.1)
+    world.deliver_late()
+    await finish([again])
+    assert_that(world.violations, Equals([]))
+
+
+async def test_a_first_submission_to_another_cell_is_served_at_once(world: World):
+    # Failure: a job that its own cell can't start waits in vain, since the owner of another cell
+    # has never heard from its entry.
+    await world.open_cells()
+    entry = world.entry_in("b")
+    busy = await occupy(world, "b")
+    job = submit(world, entry, "job", run_ms=100, timeout_ms=TIMEOUT_MS)
+    await finish([job], within_s=0.12)
+    await finish([busy])
+    assert_that(verdicts([job]), Equals({Verdict.SUCCEEDED}))
