Measure how long a job was on its way by the clock of its receiver

An entry sends a job to another cell, the message is held up, the entry gives the job up and its caller comes back to the own cell; then the message arrives and the owner of the other cell starts the job.

Cause: an owner compared the sender's clock with its own by the fastest envelope of the same sender. A first envelope, of an entry of another cell, after a restart of the sender or of the owner, was its own yardstick and so never late. The class of fault is a bound that is learnt from the thing that it is to bound.

Now an envelope names a time of its receiver's clock that the sender had learned before it sent the envelope, from a receipt or a message of the receiver. The receiver subtracts it from its own clock: the envelope was on its way for no longer. Nothing is learnt, and nothing is remembered of the sender. An envelope that names no time, or was meant for an earlier process, has no bound, and its jobs are dropped; the receipt says so and has the clock, and the sender submits them again if their callers still wait. Before it sends jobs to a peer whose clock it has not read within 5 s, an entry reads it with a Ping: one round trip at a first contact, none after that. Only drift counts, 2% of the time since the reading. A job that waits behind such a Ping was never sent, so its caller is told "not run" where it was told "unknown".

A receipt's `late` now says that the jobs of this envelope were dropped, at this attempt or an earlier one; a duplicate that arrived late said so although its jobs had been accepted. The same bound replaces the learnt one for cancellations, reports, heartbeats and worker lists; the time for which all domains were reachable is counted from the arrival of the heartbeat that says so. Beside entries of earlier builds, which send no incarnation of the receiver, the old rule holds.

--- a/tests/test_held_up_submissions.py
+++ b/tests/test_held_up_submissions.py
@@ -6,10 +6,11 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Contains, Equals, Not
 
 from tests.dispatch_world import World
 from tests.pool_jobs import finish, submit, verdicts
+from zincwell.dispatch._messages import Submit
 from zincwell.dispatch._types import Verdict
 
 pytestmark = pytest.mark.looptime
@@ -42,6 +43,20 @@
     return submit(world, entry, "job", run_ms=RUN_MS, timeout_ms=TIMEOUT_MS)
 
 
+async def restart_other_cells(world: World, entry: str) -> None:
+    """Restart all entries of the other cells, a moment after an entry has sent a job there."""
+    await asyncio.sleep(0.1)
+    for name in [name for name in world.nodes if name[2] != entry[2]]:
+        world.kill_node(name)
+        world.add_node(name, name[2], cores=8 / 50)
+
+
+def submitted_jobs(world: World) -> set[str]:
+    """Return the ids of the jobs in the messages that are held up."""
+    messages = [m for _, envelope in world.late_envelopes for m in envelope.messages]
+    return {message.job.id for message in messages if isinstance(message, Submit)}
+
+
 async def submit_held_up(world: World, entry: str) -> asyncio.Task:
     """Submit a job that its entry sends to another cell, where it does not arrive for now."""
     await occupy(world, entry[2])
@@ -90,17 +105,47 @@
     await world.open_cells(entries=2)
     entry = world.entry_in("b")
     first = await submit_held_up(world, entry)
+    await restart_other_cells(world, entry)
+    again = await come_back(world, first, world.owner_in("b"))
     await asyncio.sleep(0.1)
-    for name in [name for name in world.nodes if name[2] != "b"]:
-        world.kill_node(name)
-        world.add_node(name, name[2], cores=8 / 50)
+    world.deliver_late()
+    await finish([again])
+    assert_that(world.violations, Equals([]))
+
+
+async def test_a_submission_to_an_owner_that_restarts_starts_nothing(world: World):
+    # Failure: the same. The entry knows the owner, which restarts while the job is on its way.
+    await world.open_cells(entries=2)
+    entry = world.entry_in("b")
+    await occupy(world, "b")
+    await finish([submit(world, entry, f"earlier-{n}", run_ms=100) for n in range(8)])
+    hold_up(world, entry)
+    first = submit(world, entry, "job", run_ms=RUN_MS, timeout_ms=TIMEOUT_MS)
+    await restart_other_cells(world, entry)
     again = await come_back(world, first, world.owner_in("b"))
     await asyncio.sleep(0.1)
+    assert_that(submitted_jobs(world), Contains("job"))
     world.deliver_late()
     await finish([again])
     assert_that(world.violations, Equals([]))
 
 
+async def test_a_held_up_submission_is_not_run_for_a_caller_that_has_left(world: World):
+    # Failure: a task runs for nobody. The entry knows the owner of the other cell, and its caller
+    # leaves while the job is held up.
+    await world.open_cells()
+    entry = world.entry_in("b")
+    await occupy(world, "b")
+    await finish([submit(world, entry, f"earlier-{n}", run_ms=100) for n in range(8)])
+    hold_up(world, entry)
+    job = submit(world, entry, "job", run_ms=RUN_MS, timeout_ms=TIMEOUT_MS)
+    await finish([job])
+    assert_that(submitted_jobs(world), Contains("job"))
+    world.deliver_late()
+    await asyncio.sleep(1)
+    assert_that([task.job for _, _, task, _ in world.starts], Not(Contains("job")))
+
+
 async def test_a_submission_that_is_held_up_long_after_the_last_message_starts_nothing(
     world: World,
 ):
--- a/zincwell/dispatch/_clocks.py
+++ b/zincwell/dispatch/_clocks.py
@@ -1,10 +1,12 @@
-"""An entry's estimate of a worker's clock."""
+"""An entry's estimates of the clocks of workers and of other entries."""
 
 from __future__ import annotations
 
 import asyncio
+import math
+from collections.abc import Callable
 
-# Worker clocks may run slow by up to this share, so a lease may last longer by the same share.
+# Clocks may run slow by up to this share, so a lease may last longer by the same share.
 MAX_CLOCK_DRIFT_RATE = 0.02
 
 
@@ -38,3 +40,38 @@
         """Return a time in milliseconds that the worker's clock has certainly reached."""
         passed_ms = (self._loop.time() - self._bound_at) * 1000
         return (self._bound_ms or 0) + passed_ms * (1 - MAX_CLOCK_DRIFT_RATE)
+
+
+class PeerClock:
+    """Lower bound of another entry's clock, from the times in its messages.
+
+    The other entry finds out by its own clock alone how long a message can have been on its way:
+    no longer than since the time that the message names.
+
+    :param clock: clock of this entry, in seconds.
+    """
+
+    def __init__(self, *, clock: Callable[[], float]) -> None:
+        self._clock = clock
+        self._bound_s = -math.inf
+        self._bound_at = 0.0
+        self._updated_at = -math.inf
+
+    def update(self, time_s: float) -> None:
+        """Apply a time of the other entry's clock from one of its messages."""
+        now = self._clock()
+        if time_s >= self.lower_bound_s():
+            self._bound_s, self._bound_at = time_s, now
+        self._updated_at = now
+
+    def lower_bound_s(self) -> float:
+        """Return a time that the other clock has certainly reached, in seconds."""
+        return self._bound_s + (self._clock() - self._bound_at) * (1 - MAX_CLOCK_DRIFT_RATE)
+
+    def is_known(self) -> bool:
+        """Return whether a message has contained the other entry's time."""
+        return math.isfinite(self._bound_s)
+
+    def age_s(self) -> float:
+        """Return the time since the last message with the other entry's time, in seconds."""
+        return self._clock() - self._updated_at
--- a/zincwell/dispatch/_directory.py
+++ b/zincwell/dispatch/_directory.py
@@ -124,11 +124,17 @@
         if link is not None:
             link.close()
 
-    def note_heard(self, name: str) -> None:
-        """Record that a message from an entry arrived."""
-        link = self.links_by_name.get(name)
-        if link is not None:
-            link.note_heard()
+    def note_heard(self, entry: EntryInfo, *, sent_at: float) -> None:
+        """Record that a message from an entry arrived.
+
+        :param sent_at: when it was sent, by the clock of that entry.
+        """
+        link = self.links_by_name.get(entry.name)
+        if link is None:
+            return
+        link.note_heard()
+        if link.peer.incarnation == entry.incarnation:
+            link.peer_clock.update(sent_at)
 
     def link(self, entry: EntryInfo) -> PeerLink:
         """Return the link to this incarnation of an entry, opening it if needed."""
--- a/zincwell/dispatch/_domains.py
+++ b/zincwell/dispatch/_domains.py
@@ -43,11 +43,11 @@
     def note_heartbeat(self, heartbeat: OwnerHeartbeat, *, delay_s: float) -> None:
         """Adopt the knowledge of the owner that this entry follows.
 
-        :param delay_s: age of the heartbeat. One that was delayed by a partition says nothing about
-            the time since it was sent.
+        :param delay_s: greatest possible age of the heartbeat. One that was delayed by a partition
+            says nothing about the time since it was sent.
         """
         self._heartbeat_at = self._loop.time() - delay_s
-        self._unreachable_at = self._heartbeat_at - (
+        self._unreachable_at = self._loop.time() - (
             0.0 if heartbeat.domain else heartbeat.complete_s
         )
 
--- a/zincwell/dispatch/_messages.py
+++ b/zincwell/dispatch/_messages.py
@@ -164,6 +164,9 @@
 
     :param sequence: increasing sequence number; a retransmission carries the same number.
     :param sent_at: time of sending by the sender's monotonic clock, in seconds.
+    :param receiver: incarnation that it is meant for; empty from an earlier build.
+    :param receiver_clock_s: a time that the receiver's clock had reached when this was sent, None
+        if the sender does not know any. The message was on its way for no longer than since then.
     :param waited_s: time from queueing of the first message to this attempt, in seconds. The
         content of messages, including the ages in them, is older by this much.
     :param version: newest configuration version known to the sender.
@@ -176,6 +179,8 @@
     sequence: int
     sent_at: float
     messages: list[Message]
+    receiver: str = ""
+    receiver_clock_s: float | None = None
     waited_s: float = 0.0
     version: int = 0
     fence: int = 0
@@ -194,7 +199,9 @@
     :param leaving: whether the receiver must not become owner, because it shuts down or was too
         slow as owner.
     :param version: newest configuration version known to the receiver.
-    :param late: whether the envelope was so late that the jobs in it were dropped.
+    :param clock_s: time of the receiver's monotonic clock, in seconds; None from an earlier build.
+    :param late: whether the jobs in the envelope were dropped, since they were on their way for too
+        long, or may have been.
     :param evacuations: evacuations known to the receiver, None if it never heard of any.
     :param cancelled: cancellations that the receiver can't deliver to the sender, because only the
         other direction of the link works. Their ages are those at the time of the receipt.
@@ -207,6 +214,7 @@
     owner_silence_s: float = 0.0
     leaving: bool = False
     version: int = 0
+    clock_s: float | None = None
     late: bool = False
     evacuations: Evacuations | None = None
     cancelled: list[Cancel] = []
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -26,6 +26,7 @@
     make_fencing_token,
 )
 from zincwell.dispatch._evacuations import EvacuationTracker
+from zincwell.dispatch._inbox import LATE_DELIVERY_S, Inbox
 from zincwell.dispatch._layout_manager import LAYOUT_CHECK_INTERVAL_S, LayoutManager
 from zincwell.dispatch._messages import (
     Cancel,
@@ -44,7 +45,7 @@
 from zincwell.dispatch._metrics import Metrics
 from zincwell.dispatch._owner import Owner, OwnerListener
 from zincwell.dispatch._owner_lag import OwnerLagDetector
-from zincwell.dispatch._peers import LATE_DELIVERY_S, Inbox, LinkObserver, PeerLink
+from zincwell.dispatch._peers import LinkObserver, PeerLink
 from zincwell.dispatch._pending_jobs import RETRY_AFTER_S, PendingJobTracker
 from zincwell.dispatch._reachability import ReachabilityMonitor
 from zincwell.dispatch._router import OwnerRouter
@@ -161,7 +162,7 @@
             directory=self._directory,
             handle=lambda message: self._handle(self.me, message),
         )
-        self._inbox = Inbox()
+        self._inbox = Inbox(incarnation=me.incarnation)
         self._metrics = Metrics()
         self.configurations = ConfigurationManager(client=peers, metrics=self._metrics)
         self.evacuations = EvacuationTracker(on_change=self._on_evacuations, metrics=self._metrics)
@@ -521,20 +522,14 @@
     def receive(self, envelope: Envelope) -> Receipt:
         """Handle an envelope from another entry and return its acknowledgement."""
         self._directory.note(envelope.sender)
-        self._directory.note_heard(envelope.sender.name)
+        self._directory.note_heard(envelope.sender, sent_at=envelope.sent_at)
         self._reachability.note_layout(envelope.sender.name, envelope.layout_offset)
         self.evacuations.update_from_peer(envelope.evacuations, entry=envelope.sender.name)
         self._check_owner_restart()
         self.election.note_delivery(envelope.sender.incarnation, envelope.fence)
-        late_s = self._inbox.lateness_s(envelope, now=self._clock())
-        late = late_s > LATE_DELIVERY_S
+        delay_s = self._inbox.delay_s(envelope, now=self._clock())
         if self._inbox.is_new(envelope):
-            for message in envelope.messages:
-                if late and isinstance(message, Submit | JobEnded):
-                    self._log_late(envelope.sender, message, late_s=late_s)
-                if late and isinstance(message, Submit):
-                    continue
-                self._handle(envelope.sender, message, delay_s=envelope.waited_s + late_s)
+            self._handle_messages(envelope, delay_s)
         self.configurations.note_version(envelope.sender, envelope.version)
         return Receipt(
             receiver=self.me,
@@ -544,22 +539,30 @@
             owner_silence_s=self.election.owner_contact_age_s(),
             leaving=self.leaving or self._owner_lag.is_ineligible(self._loop.time()),
             version=self.configuration_version(),
-            late=late,
+            clock_s=self._clock(),
+            late=self._inbox.has_dropped(envelope),
             evacuations=self.evacuations.state_to_share(),
             cancelled=self._directory.undelivered_cancellations(envelope.sender),
         )
 
-    def _log_late(self, sender: EntryInfo, message: Submit | JobEnded, *, late_s: float) -> None:
-        if isinstance(message, Submit):
-            event, job_id = "late_job", message.job.id
-        else:
-            event, job_id = "late_answer", message.job
-        log.info("%s job=%s entry=%s late_ms=%d", event, job_id, sender.name, late_s * 1000)
+    def _handle_messages(self, envelope: Envelope, delay_s: float) -> None:
+        """Process the messages of an envelope, but for jobs that may have been given up meanwhile.
+
+        :param delay_s: how long it was on its way at most, in seconds.
+        """
+        is_late = delay_s > LATE_DELIVERY_S
+        for message in envelope.messages:
+            if is_late and isinstance(message, Submit | JobEnded):
+                _log_late(envelope.sender, message, delay_s=delay_s)
+            if is_late and isinstance(message, Submit):
+                self._inbox.note_dropped(envelope)
+                continue
+            self._handle(envelope.sender, message, delay_s=envelope.waited_s + delay_s)
 
     def _handle(self, sender: EntryInfo, message: Message, *, delay_s: float = 0.0) -> None:
         """Dispatch one message to its handler.
 
-        :param delay_s: age of the message content on arrival, in seconds.
+        :param delay_s: greatest possible age of the message content on arrival, in seconds.
         """
         if isinstance(message, Submit):
             self._handle_submission(sender, message, delay_s=delay_s)
@@ -720,10 +723,19 @@
             self.election.note_receipt(receipt)
         for cancel in receipt.cancelled:
             self._handle(receipt.receiver, cancel)
-        if receipt.late:
-            self.pending_jobs.resubmit(after_s=0)
+        if receipt.late and receipt.receiver.incarnation == link.peer.incarnation:
+            self._resubmit_dropped(link, receipt, messages)
         self.configurations.note_version(receipt.receiver, receipt.version)
 
+    def _resubmit_dropped(self, link: PeerLink, receipt: Receipt, messages: list[Message]) -> None:
+        """Submit the jobs again that the receiver of a delivery has dropped."""
+        if receipt.clock_s is None:
+            # An earlier build, which may have accepted them at an earlier attempt.
+            self.pending_jobs.resubmit(after_s=0)
+            return
+        job_ids = [message.job.id for message in messages if isinstance(message, Submit)]
+        self.pending_jobs.resubmit_dropped(job_ids, owner=link.peer)
+
     def _note_former_owner(self, link: PeerLink, receipt: Receipt) -> None:
         """Release the jobs of an owner that follows the layout, or whose process has ended."""
         replaced = receipt.receiver.incarnation != link.peer.incarnation
@@ -946,3 +958,11 @@
                 await self._store.append(Topic.LIVENESS, key=key, value=self.me.name.encode())
             except StoreUnavailableError as error:
                 log.info('liveness_not_written error="%s"', error)
+
+
+def _log_late(sender: EntryInfo, message: Submit | JobEnded, *, delay_s: float) -> None:
+    if isinstance(message, Submit):
+        event, job_id = "late_job", message.job.id
+    else:
+        event, job_id = "late_answer", message.job
+    log.info("%s job=%s entry=%s late_ms=%d", event, job_id, sender.name, delay_s * 1000)
--- a/zincwell/dispatch/_peers.py
+++ b/zincwell/dispatch/_peers.py
@@ -5,13 +5,13 @@
 import abc
 import asyncio
 import logging
-import math
 from collections.abc import Callable, Iterator
 
 import msgspec
 
 from zincwell.dispatch._background import BackgroundTasks
-from zincwell.dispatch._messages import Cancel, Envelope, Message, Receipt, Submit
+from zincwell.dispatch._clocks import PeerClock
+from zincwell.dispatch._messages import Cancel, Envelope, Message, Ping, Receipt, Submit
 from zincwell.dispatch._types import EntryInfo, Evacuations
 from zincwell.dispatch.ports import PeerCallError, PeerClient
 
@@ -23,13 +23,9 @@
 # Pause after a failed delivery attempt; it grows linearly up to the maximum.
 RETRY_PAUSE_S = 0.03
 MAX_RETRY_PAUSE_S = 0.2
-# Jobs in an envelope with more extra delay than this are dropped: the envelope was held in a socket
-# buffer of a suspended VM or on a partitioned link. Senders time out after 0.25 s, callers retry
-# 1.3 s after a missing answer, and a VM that is five times slower needs 0.1 s.
-LATE_DELIVERY_S = 0.6
-# Length of the window for the minimum clock offset. Clocks drift apart by up to 0.1 s per hour, so
-# older samples would distort the result.
-CLOCK_OFFSET_WINDOW_S = 60.0
+# A job is sent to a peer only if its clock was read within this time, or is read first. The bound
+# on the time that the job is on its way grows by 2% of it.
+MAX_CLOCK_AGE_S = 5.0
 # The queue to an unreachable entry is dropped when it reaches this length. The entry submits its
 # waiting jobs again.
 MAX_QUEUED_MESSAGES = 5_000
@@ -87,6 +83,7 @@
         self._sequences = sequences
         self._clock = clock
         self.peer = peer
+        self.peer_clock = PeerClock(clock=clock)
         self.last_receipt_at = -1e9
         self.last_receipt: Receipt | None = None
         self.me = me
@@ -214,13 +211,31 @@
             await self._wake.wait()
             self._wake.clear()
             while self._queue:
-                self._in_flight, self._queue = self._queue, []
-                self._in_flight_queued_at = self._queued_at
-                receipt = await self._deliver(self._queued_at)
-                delivered, self._in_flight = self._in_flight, []
-                # After the delivery has ended, since replies to the receipt are only sent on an
-                # idle link.
-                self._observer.on_receipt(self, receipt, delivered)
+                if self._must_read_clock():
+                    await self._exchange([Ping()], queued_at=self._clock())
+                    continue
+                messages, self._queue = self._queue, []
+                await self._exchange(messages, queued_at=self._queued_at)
+
+    def _must_read_clock(self) -> bool:
+        """Return whether the peer's clock must be read before the queued jobs are sent.
+
+        Its owner would drop them, since it can't tell how long they were on their way.
+        """
+        if self.peer_clock.age_s() < MAX_CLOCK_AGE_S or self.has_answered_within(MAX_CLOCK_AGE_S):
+            return False
+        return any(isinstance(message, Submit) for message in self._queue)
+
+    async def _exchange(self, messages: list[Message], *, queued_at: float) -> None:
+        """Deliver messages and let the observer process the acknowledgement.
+
+        :param queued_at: clock time at which the first of the messages was queued.
+        """
+        self._in_flight, self._in_flight_queued_at = messages, queued_at
+        receipt = await self._deliver(queued_at)
+        delivered, self._in_flight = self._in_flight, []
+        # After the delivery has ended, since replies to the receipt are only sent on an idle link.
+        self._observer.on_receipt(self, receipt, delivered)
 
     async def _deliver(self, queued_at: float) -> Receipt:
         """Deliver the messages in flight until acknowledged, in their current state each time.
@@ -236,6 +251,8 @@
                 sequence=sequence,
                 sent_at=now,
                 messages=self._in_flight,
+                receiver=self.peer.incarnation,
+                receiver_clock_s=self._read_peer_clock(),
                 waited_s=now - queued_at,
                 version=self._observer.configuration_version(),
                 fence=self._observer.own_fence(),
@@ -256,62 +273,11 @@
         if receipt.receiver.incarnation == self.peer.incarnation:
             # A new process at the address says nothing about the jobs of the one before it.
             self.note_heard()
+            if receipt.clock_s is not None:
+                self.peer_clock.update(receipt.clock_s)
         self.last_receipt_at = self._loop.time()
         self.last_receipt = receipt
         return receipt
 
-
-class Inbox:
-    """Detects duplicate and delayed envelopes."""
-
-    def __init__(self) -> None:
-        self._last_sequence_by_incarnation: dict[str, int] = {}
-        self._min_offset_by_incarnation: dict[str, MinimumClockOffset] = {}
-
-    def lateness_s(self, envelope: Envelope, *, now: float) -> float:
-        """Return the extra delay of an envelope over the fastest one of its sender, in seconds.
-
-        The jobs in a delayed envelope may have been given up and run elsewhere meanwhile, so they
-        would run twice. The clocks of two entries have an unknown offset that is the same for all
-        envelopes. The minimum clock difference, seen with the fastest envelope, approximates the
-        offset; the rest is delay.
-        """
-        min_offset = self._min_offset_by_incarnation.setdefault(
-            envelope.sender.incarnation, MinimumClockOffset()
-        )
-        difference = now - envelope.sent_at
-        min_offset.note(difference, now=now)
-        return difference - min_offset.offset()
-
-    def is_new(self, envelope: Envelope) -> bool:
-        """Return whether the envelope is no duplicate, and record its sequence number."""
-        incarnation = envelope.sender.incarnation
-        if envelope.sequence <= self._last_sequence_by_incarnation.get(incarnation, 0):
-            return False
-        self._last_sequence_by_incarnation[incarnation] = envelope.sequence
-        return True
-
-
-class MinimumClockOffset:
-    """Minimum clock difference to a sender over a sliding window.
-
-    The window consists of the current and the previous interval.
-    """
-
-    def __init__(self) -> None:
-        self._since = 0.0
-        self._current = math.inf
-        self._previous = math.inf
-
-    def note(self, difference: float, *, now: float) -> None:
-        """Add the clock difference seen at a delivery.
-
-        :param now: time of the delivery, by the receiver's clock.
-        """
-        if now - self._since > CLOCK_OFFSET_WINDOW_S:
-            self._since, self._previous, self._current = now, self._current, math.inf
-        self._current = min(self._current, difference)
-
-    def offset(self) -> float:
-        """Return the minimum clock difference in seconds."""
-        return min(self._current, self._previous)
+    def _read_peer_clock(self) -> float | None:
+        return self.peer_clock.lower_bound_s() if self.peer_clock.is_known() else None
--- a/zincwell/dispatch/_pending_jobs.py
+++ b/zincwell/dispatch/_pending_jobs.py
@@ -558,6 +558,21 @@
             if now - pending.submitted_at > after_s and self._has_live_owner(pending.cell):
                 self._submit(pending)
 
+    def resubmit_dropped(self, job_ids: Collection[str], *, owner: EntryInfo) -> None:
+        """Submit jobs again that an owner has dropped, since they may have been late.
+
+        It has accepted none of them, also at no earlier attempt of the same delivery.
+        """
+        for job_id in job_ids:
+            pending = self._pending_by_id.get(job_id)
+            if pending is None or pending.owner is None:
+                continue
+            if pending.owner.incarnation != owner.incarnation:
+                continue
+            if not pending.resubmitted:
+                pending.submitted_fence = 0
+            self._submit(pending)
+
     def _max_ownerless_wait_s(self, pending: PendingJob) -> float:
         """Return how long a job may wait without an owner, in seconds.
 
