Start a job that came late only once no other cell can have it

Callers saw: a task runs in two cells at once. A job reaches its owner late in its caller's time, for instance since its entry was cut off from its owner for 1.2 s; its caller comes back 1.3 s after it had sent the job, to an entry of another cell, before either owner has announced it.

Cause: an owner started each job at once and announced it afterwards, also one so old that its caller could be back before the announcement; and it took the age of a job from its entry, without the time on the way. The class of fault is an exclusion that is announced after the act.

Now an owner counts a job's age from the earliest time at which its caller can have sent it. One that is older than 0.3 s when it comes starts only once each other owner in contact has acknowledged a report that names it, without naming it as its own. Such a report is sent at once, so the wait is a round trip. If both have the job, the one without a run of it hands it over, and of two without a run the second by name; the entries follow, as to a job that was announced before. The same question is asked at every start: an owner that stood still starts no job that it should have ended. A new owner has contact with a cell until the first of its reports should have been acknowledged; before, every cell counted as out of contact in the first moments of a term. A receipt counts only if its sender knows of no later owner of its cell.

A report that was acknowledged is always noted, and counts from its arrival: before, one whose delay was overestimated could be acknowledged and ignored. Times in envelopes and receipts are rounded down to milliseconds, which makes up for a part of the new fields.

Messages have defaults for the new fields; beside earlier builds the old rule holds.

--- a/tests/overload_replay.py
+++ b/tests/overload_replay.py
@@ -243,7 +243,7 @@
             self.scheduler = Scheduler(
                 sessions_by_id=self.workers,
                 may_start_tasks=lambda now: True,
-                may_have_orphaned_runs=lambda job, now: False,
+                may_run_already=lambda job, now: False,
                 may_run_unseen=lambda task: False,
                 next_run_number=lambda task: 1,
                 run_times=self.run_times,
--- a/tests/test_resubmission_between_cells.py
+++ b/tests/test_resubmission_between_cells.py
@@ -169,6 +169,50 @@
     assert_that(world.violations, Equals([]))
 
 
+@pytest.mark.parametrize(("zone", "other"), [("a", "b"), ("b", "a")])
+@pytest.mark.parametrize("delayed_s", [0.4, 0.9, 1.1, 1.28, 1.32])
+async def test_a_late_job_goes_to_the_cell_that_has_it(
+    world: World, zone: str, other: str, delayed_s: float
+):
+    # Failure: two concurrent runs of one task, or none. The same, whichever of the two cells comes
+    # first by name; the later one hands over a job that neither has started.
+    await world.open_cells()
+    entry = world.entry_in(zone)
+    for name in world.nodes:
+        world.cut(entry, name)
+    first = submit(world, entry, "job", run_ms=RUN_MS, objective_ms=9000)
+    await asyncio.sleep(min(delayed_s, RETRANSMIT_S))
+    again = None
+    if delayed_s > RETRANSMIT_S:
+        again = submit(world, world.entry_in(other), "job", run_ms=RUN_MS)
+        await asyncio.sleep(delayed_s - RETRANSMIT_S)
+    world.heal()
+    if again is None:
+        await asyncio.sleep(RETRANSMIT_S - delayed_s)
+        again = submit(world, world.entry_in(other), "job", run_ms=RUN_MS)
+    await finish([first, again])
+    assert_that(world.violations, Equals([]))
+    assert_that(verdicts([again]), Equals({Verdict.SUCCEEDED}))
+
+
+@pytest.mark.parametrize("zones", ["ab", "ba"])
+async def test_a_job_that_waits_in_two_cells_starts_in_one(world: World, zones: str):
+    # Failure: two concurrent runs of one task, or none. A job comes late to the owners of two
+    # cells, each of which waits for the other before it starts it.
+    await world.open_cells()
+    entries = [world.entry_in(zone) for zone in zones]
+    for entry in entries:
+        for name in world.nodes:
+            world.cut(entry, name)
+    jobs = [submit(world, entry, "job", run_ms=RUN_MS, objective_ms=9000) for entry in entries]
+    await asyncio.sleep(0.7)
+    world.heal()
+    await finish(jobs)
+    assert_that(world.violations, Equals([]))
+    assert_that(verdicts(jobs), Equals({Verdict.SUCCEEDED}))
+    assert_that(world.starts, HasLength(2))
+
+
 async def test_a_job_sent_again_in_a_pool_of_twelve_cells_runs_once(world: World):
     # Failure: two concurrent runs of one task. Owners announce their jobs to the owners of the next
     # eight cells only.
--- a/zincwell/dispatch/_announcements.py
+++ b/zincwell/dispatch/_announcements.py
@@ -9,13 +9,18 @@
 import asyncio
 import logging
 import math
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import dataclass, replace
 
 from zincwell.dispatch._jobs import Job
 from zincwell.dispatch._messages import CellReport
 from zincwell.dispatch._types import EntryInfo
-from zincwell.dispatch.decisions import ANNOUNCE_BY_S, is_out_of_contact, must_end_job
+from zincwell.dispatch.decisions import (
+    ANNOUNCE_BY_S,
+    CellContact,
+    may_start_job,
+    must_end_job,
+)
 
 log = logging.getLogger("zincwell.cells")
 
@@ -25,16 +30,24 @@
     """What the owner of another cell was told.
 
     :param owner: incarnation of the owner.
+    :param contact: whether it has acknowledged reports of this owner. Those that an owner before it
+        has acknowledged count.
     :param report: the report that was sent to it last.
     :param made_at: when that report was made.
-    :param acknowledged_at: when the newest report that it or an owner before it has acknowledged
-        was made.
+    :param jobs_there: jobs in the last acknowledged report that the other cell has itself.
     """
 
     owner: str
+    contact: CellContact
     report: CellReport | None = None
     made_at: float = -math.inf
-    acknowledged_at: float = -math.inf
+    jobs_there: frozenset[str] = frozenset()
+
+    def may_start(self, job: Job, now: float) -> bool:
+        """Return whether a task of a job may start, with regard to this cell."""
+        if job.times.must_be_announced_first() and job.request.id in self.jobs_there:
+            return False
+        return may_start_job(job.times, self.contact, now=now)
 
 
 class Announcements:
@@ -44,13 +57,24 @@
         self._views_by_cell: dict[str, _CellView] = {}
         # Ids of open jobs that were logged as unannounced.
         self._unannounced: set[str] = set()
+        # When the newest job was accepted that must be announced before it starts.
+        self._awaited_since = -math.inf
+        self._has_held_back = False
         self._loop = asyncio.get_running_loop()
 
+    def begin_term(self) -> None:
+        """Forget what was told in an earlier term as owner."""
+        self._views_by_cell.clear()
+        self._awaited_since = -math.inf
+
     def set_owners(self, owners_by_cell: Mapping[str, EntryInfo]) -> None:
         """Update the owners of the other cells."""
         views_by_cell = {}
         for cell, owner in owners_by_cell.items():
-            view = self._views_by_cell.get(cell) or _CellView(owner=owner.incarnation)
+            view = self._views_by_cell.get(cell)
+            if view is None:
+                contact = CellContact(opened_at=self._loop.time())
+                view = _CellView(owner=owner.incarnation, contact=contact)
             view.owner = owner.incarnation
             views_by_cell[cell] = view
         self._views_by_cell = views_by_cell
@@ -60,22 +84,55 @@
         view = self._views_by_cell[cell]
         view.report, view.made_at = report, self._loop.time()
 
-    def note_delivered(self, owner: str, report: CellReport) -> None:
+    def note_delivered(
+        self, owner: str, report: CellReport, *, jobs_there: Collection[str]
+    ) -> None:
         """Record that an owner has acknowledged a report.
 
         :param owner: its incarnation.
+        :param jobs_there: the jobs in the report that its cell has itself.
         """
         for view in self._views_by_cell.values():
             if view.owner == owner and view.report is report:
-                view.acknowledged_at = view.made_at
+                view.contact = replace(view.contact, acknowledged_at=view.made_at)
+                view.jobs_there = frozenset(jobs_there)
+
+    def note_accepted(self, job: Job) -> None:
+        """Record that a job was accepted; it may have to be announced before it starts."""
+        if job.times.must_be_announced_first():
+            self._awaited_since = job.accepted_at
+
+    def cells_to_tell(self) -> list[str]:
+        """Return the cells whose last report did not name a job that waits to be announced."""
+        views = self._views_by_cell.items()
+        return [cell for cell, view in views if view.made_at < self._awaited_since]
+
+    def may_start(self, job: Job) -> bool:
+        """Return whether a task of a job may start, as no other cell can run it."""
+        now = self._loop.time()
+        if now - job.sent_since <= ANNOUNCE_BY_S and not job.times.must_be_announced_first():
+            return True
+        if all(view.may_start(job, now) for view in self._views_by_cell.values()):
+            return True
+        self._has_held_back = True
+        return False
+
+    def take_held_back(self) -> bool:
+        """Return whether `may_start` has held a job back since the last call."""
+        held_back, self._has_held_back = self._has_held_back, False
+        return held_back
 
     def find_jobs_to_end(self, jobs: Iterable[Job]) -> list[Job]:
         """Return the jobs that must end because another cell might run them as well."""
         now = self._loop.time()
-        views = self._views_by_cell.values()
-        old_jobs = [job for job in jobs if now - job.arrived_at > ANNOUNCE_BY_S]
+        old_jobs = [job for job in jobs if now - job.sent_since > ANNOUNCE_BY_S]
         self._log_unannounced(old_jobs)
-        return [job for job in old_jobs if any(_must_end(job, view, now) for view in views)]
+        contacts = [view.contact for view in self._views_by_cell.values()]
+        return [
+            job
+            for job in old_jobs
+            if any(must_end_job(job.times, contact, now=now) for contact in contacts)
+        ]
 
     def _log_unannounced(self, old_jobs: list[Job]) -> None:
         """Log the jobs that go on although the owner of another cell was not told of them."""
@@ -83,17 +140,8 @@
         self._unannounced = set()
         for job in old_jobs:
             for cell, view in self._views_by_cell.items():
-                if not is_out_of_contact(job.arrived_at, acknowledged_at=view.acknowledged_at):
+                if not view.contact.was_lost_before(job.times):
                     continue
                 if job.request.id not in known | self._unannounced:
                     log.info("job_unannounced job=%s cell=%s", job.request.id, cell)
                 self._unannounced.add(job.request.id)
-
-
-def _must_end(job: Job, view: _CellView, now: float) -> bool:
-    return must_end_job(
-        requested_at=job.arrived_at,
-        accepted_at=job.accepted_at,
-        acknowledged_at=view.acknowledged_at,
-        now=now,
-    )
--- a/zincwell/dispatch/_cell_directory.py
+++ b/zincwell/dispatch/_cell_directory.py
@@ -36,7 +36,7 @@
     :param made_at: when its newest report was created.
     :param jobs: ids of the jobs that its owner has announced last.
     :param jobs_fence: fencing token of that owner.
-    :param jobs_at: when the report that announced them was created.
+    :param jobs_at: when the report that announced them was received.
     :param former_jobs: ids of the jobs that the owner before has announced last.
     :param former_until: until when these may still run, under leases of that owner.
     """
@@ -52,14 +52,14 @@
     former_jobs: frozenset[str] = frozenset()
     former_until: float = -math.inf
 
-    def note_jobs(self, report: CellReport, *, made_at: float, now: float) -> None:
+    def note_jobs(self, report: CellReport, *, now: float) -> None:
         """Record the jobs that the cell's owner announces.
 
         A new owner may not see all runs of the one before, whose leases have not expired.
         """
         if report.fence > self.jobs_fence:
             self.former_jobs, self.former_until = self.jobs, now + FORMER_LEASE_S
-        self.jobs, self.jobs_fence, self.jobs_at = frozenset(report.jobs), report.fence, made_at
+        self.jobs, self.jobs_fence, self.jobs_at = frozenset(report.jobs), report.fence, now
 
     def has_job(self, job_id: str, *, now: float) -> bool:
         """Return whether the cell has a job, by its announcements."""
@@ -117,21 +117,19 @@
             return
         view.report, view.made_at = report, made_at
 
-    def note_jobs(self, report: CellReport, *, delay_s: float = 0.0) -> None:
+    def note_jobs(self, report: CellReport) -> None:
         """Record the jobs that the owner of another cell announces.
 
         They count also while this entry does not know of that owner's claim. The announcements of
         the owner before count until then. An owner that lags announces jobs of a dissolved cell,
-        which their entries have moved.
-
-        :param delay_s: how long the message took to arrive.
+        which their entries have moved. Reports of one owner arrive in order, and the time from
+        which they count is that of the arrival, for their owner relies on the receipt.
         """
         if all(cell.name != report.cell for cell in self.layout.cells):
             return
-        made_at = self._loop.time() - report.age_s - delay_s
         view = self._views_by_cell.setdefault(report.cell, CellView())
-        if report.fence >= view.fence and made_at > view.jobs_at:
-            view.note_jobs(report, made_at=made_at, now=self._loop.time())
+        if report.fence >= max(view.fence, view.jobs_fence):
+            view.note_jobs(report, now=self._loop.time())
 
     def cell_with_job(self, job_id: str, *, refused_by: Iterable[str]) -> str | None:
         """Return the name of another cell whose owner has announced a job, or None.
--- a/zincwell/dispatch/_cell_reporter.py
+++ b/zincwell/dispatch/_cell_reporter.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
+
 import msgspec
 
 from zincwell.dispatch._announcements import Announcements
@@ -46,14 +48,7 @@
         if not self._cell_directory.other_cells() or owner.domain is not None:
             self._announcements.set_owners({})
             return []
-        capacity = owner.capacity_status()
-        report = CellReport(
-            cell=self._cell_directory.home.name,
-            fence=owner.fence,
-            free_cpu=capacity.free_cpu,
-            backlog_s=capacity.backlog_s,
-            pending=owner.jobs.pending_by_route(),
-        )
+        report = self._make_report(owner)
         self._cell_directory.note_owner(report.cell, me, report.fence)
         self._cell_directory.note_report(report)
         owners_by_cell = self._owners_by_cell()
@@ -65,11 +60,31 @@
                 self._send(entry, report)
         return [report, *self._cell_directory.fresh_reports()]
 
+    def tell(self, owner: Owner, cells: Collection[str]) -> None:
+        """Send the home cell's report at once to the owners of these cells."""
+        owners_by_cell = self._owners_by_cell()
+        named = {cell: owners_by_cell[cell] for cell in cells if cell in owners_by_cell}
+        if named:
+            self._announce(self._make_report(owner), owner, named)
+
+    def _make_report(self, owner: Owner) -> CellReport:
+        capacity = owner.capacity_status()
+        return CellReport(
+            cell=self._cell_directory.home.name,
+            fence=owner.fence,
+            free_cpu=capacity.free_cpu,
+            backlog_s=capacity.backlog_s,
+            pending=owner.jobs.pending_by_route(),
+        )
+
     def _announce(
         self, report: CellReport, owner: Owner, owners_by_cell: dict[str, EntryInfo]
     ) -> None:
         """Send the report to owners of other cells, with the jobs that this cell has."""
-        announcement = msgspec.structs.replace(report, jobs=owner.jobs_to_announce())
+        job_ids = owner.jobs_to_announce()
+        announcement = msgspec.structs.replace(
+            report, jobs=job_ids, unstarted=[name for name in job_ids if owner.has_no_run(name)]
+        )
         for cell, entry in owners_by_cell.items():
             if self._send(entry, announcement):
                 self._announcements.note_sent(cell, announcement)
--- a/zincwell/dispatch/_clocks.py
+++ b/zincwell/dispatch/_clocks.py
@@ -42,6 +42,11 @@
         return (self._bound_ms or 0) + passed_ms * (1 - MAX_CLOCK_DRIFT_RATE)
 
 
+def floor_ms(time_s: float) -> float:
+    """Return a time rounded down to milliseconds, which takes less room in a message."""
+    return math.floor(time_s * 1000) / 1000
+
+
 class PeerClock:
     """Lower bound of another entry's clock, from the times in its messages.
 
--- a/zincwell/dispatch/_job_registry.py
+++ b/zincwell/dispatch/_job_registry.py
@@ -89,6 +89,7 @@
             possibly_started=possibly_started,
             moved=moved,
             accepted_at=now,
+            sent_since=requested_at,
         )
         self.jobs_by_id[request.id] = job
         job.answer_by = -math.inf
@@ -141,6 +142,12 @@
         if job.waiting_entries:
             self._answer(job.request.id, set(job.waiting_entries), outcome)
 
+    def hand_over(self, job: Job) -> set[str]:
+        """Forget a job without runs that another cell has; return the entries that wait for it."""
+        del self.jobs_by_id[job.request.id]
+        self._on_ended(job)
+        return set(job.waiting_entries)
+
     def refuse(self, job: Job, reason: str, *, retry_after_s: float = RETRY_AFTER_S) -> None:
         """End a job that this owner has not started, with a retry delay."""
         verdict = Verdict.UNKNOWN if job.possibly_started else Verdict.REFUSED
--- a/zincwell/dispatch/_jobs.py
+++ b/zincwell/dispatch/_jobs.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from zincwell.dispatch._types import JobRequest, Outcome, Step, TaskId, WorkerInfo
+from zincwell.dispatch.decisions import JobTimes
 
 # Callers without an answer resubmit after 1.3 s. An answer is kept for several resubmissions.
 ANSWER_TTL_S = 6.0
@@ -58,6 +59,8 @@
     """An open job.
 
     :param arrived_at: when the caller's request arrived, on this entry's clock.
+    :param sent_since: earliest time at which the first caller can have sent it, on this entry's
+        clock.
     :param possibly_started: whether a previous owner may have started tasks of it.
     :param moved: whether that owner's cell was dissolved by a new layout.
     :param accepted_at: when this owner received it, on this entry's clock.
@@ -82,12 +85,14 @@
     :param min_run_s_by_step: shortest run time of a done task, for each step that has one, as on a
         typical worker.
     :param done_runs_by_step: for each step with tasks that are not done, the runs of the others.
+    :ivar times: when it was sent and accepted.
     """
 
     request: JobRequest
     arrived_at: float
     possibly_started: bool
     accepted_at: float
+    sent_since: float = -math.inf
     moved: bool = False
     waiting_entries: dict[str, float] = field(default_factory=dict)
     requested_at: float = -math.inf
@@ -107,9 +112,11 @@
     left_waiting: bool = False
     min_run_s_by_step: dict[int, float] = field(default_factory=dict)
     done_runs_by_step: dict[int, list[DoneRun]] = field(default_factory=dict)
+    times: JobTimes = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the tasks of all steps."""
+        self.times = JobTimes(sent_since=self.sent_since, accepted_at=self.accepted_at)
         for number, step in enumerate(self.request.steps):
             ids = (TaskId(self.request.id, number, index) for index in range(step.count))
             self.tasks.append([Task(id=task_id) for task_id in ids])
@@ -161,6 +168,10 @@
         """Return the ids of the tasks that are done."""
         return [task.id for step in self.tasks for task in step if task.state is TaskState.DONE]
 
+    def may_have_runs(self) -> bool:
+        """Return whether tasks of the job may be running or done."""
+        return self.started or self.possibly_started
+
     def waiting_work(self) -> float:
         """Return the estimated work of the waiting tasks, in millicore-seconds."""
         return self.request.work() * self.waiting / sum(step.count for step in self.request.steps)
--- a/zincwell/dispatch/_messages.py
+++ b/zincwell/dispatch/_messages.py
@@ -83,6 +83,7 @@
     :param pending: number of jobs without a started task, by route.
     :param jobs: ids of the jobs that the cell has had for a while or may still run; None in reports
         to entries that are no owners.
+    :param unstarted: those of them that certainly have no run in the cell.
     """
 
     cell: str
@@ -92,6 +93,7 @@
     age_s: float = 0.0
     pending: dict[str, int] = {}
     jobs: list[str] | None = None
+    unstarted: list[str] = []
 
 
 class OwnerHeartbeat(Struct, frozen=True, kw_only=True, tag="beat", omit_defaults=True):
@@ -203,6 +205,7 @@
     :param late: whether the jobs in the envelope were dropped, since they were on their way for too
         long, or may have been.
     :param evacuations: evacuations known to the receiver, None if it never heard of any.
+    :param jobs_here: jobs announced in the envelope that the receiver, an owner, has itself.
     :param cancelled: cancellations that the receiver can't deliver to the sender, because only the
         other direction of the link works. Their ages are those at the time of the receipt.
     """
@@ -217,4 +220,5 @@
     clock_s: float | None = None
     late: bool = False
     evacuations: Evacuations | None = None
+    jobs_here: list[str] = []
     cancelled: list[Cancel] = []
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -14,6 +14,7 @@
 from zincwell.dispatch._cell_directory import CellDirectory
 from zincwell.dispatch._cell_reporter import CellReporter
 from zincwell.dispatch._cells import LAYOUT_KEY, OWNER_KEY, Layout, decode_layout
+from zincwell.dispatch._clocks import floor_ms
 from zincwell.dispatch._configurations import ConfigurationManager
 from zincwell.dispatch._directory import EntryDirectory
 from zincwell.dispatch._domains import DomainMonitor
@@ -27,6 +28,7 @@
 )
 from zincwell.dispatch._evacuations import EvacuationTracker
 from zincwell.dispatch._inbox import LATE_DELIVERY_S, Inbox
+from zincwell.dispatch._jobs import Job
 from zincwell.dispatch._layout_manager import LAYOUT_CHECK_INTERVAL_S, LayoutManager
 from zincwell.dispatch._messages import (
     Cancel,
@@ -539,9 +541,10 @@
             owner_silence_s=self.election.owner_contact_age_s(),
             leaving=self.leaving or self._owner_lag.is_ineligible(self._loop.time()),
             version=self.configuration_version(),
-            clock_s=self._clock(),
+            clock_s=floor_ms(self._clock()),
             late=self._inbox.has_dropped(envelope),
             evacuations=self.evacuations.state_to_share(),
+            jobs_here=self._find_jobs_here(envelope),
             cancelled=self._directory.undelivered_cancellations(envelope.sender),
         )
 
@@ -576,7 +579,8 @@
         elif isinstance(message, CellReport):
             self._cell_directory.note_report(message, delay_s=delay_s)
             if message.jobs is not None:
-                self._cell_directory.note_jobs(message, delay_s=delay_s)
+                self._cell_directory.note_jobs(message)
+                self._hand_over_jobs(message)
         elif isinstance(message, WorkerListSnapshot):
             self._worker_list.note_snapshot(message, entry=sender.name, delay_s=delay_s)
         elif isinstance(message, LayoutNotice):
@@ -615,7 +619,7 @@
             return
         other_cell = self._find_other_cell(message)
         if other_cell is not None:
-            self._redirect(sender, message.job.id, other_cell)
+            self._redirect(sender.name, message.job.id, other_cell)
             return
         self._owner.submit(
             message.job,
@@ -626,6 +630,61 @@
             done=message.done,
             delay_s=delay_s,
         )
+        job = self._owner.jobs.jobs_by_id.get(message.job.id)
+        if job is not None:
+            self._announcements.note_accepted(job)
+            self._announce_awaited()
+
+    def _announce_awaited(self) -> None:
+        """Send reports now if a job waits for its announcement to other cells."""
+        cells = self._announcements.cells_to_tell()
+        if cells:
+            self._reporter.tell(self._owner, cells)
+
+    def _note_announced(self, peer: EntryInfo, report: CellReport, receipt: Receipt) -> None:
+        """Let jobs start that waited for a report to be acknowledged.
+
+        Those that the other cell has itself go there, unless they may have runs here. A receiver
+        that knows of a later owner of its cell speaks for nobody.
+        """
+        if receipt.fence > self._cell_directory.fence_of(receipt.cell):
+            return
+        self._announcements.note_delivered(peer.incarnation, report, jobs_there=receipt.jobs_here)
+        if self._owner is None or report.jobs is None:
+            return
+        for job_id in receipt.jobs_here:
+            if self._owner.has_no_run(job_id):
+                self._hand_over(job_id, receipt.cell)
+        if self._announcements.take_held_back():
+            self._owner.on_capacity_available()
+        self._announce_awaited()
+
+    def _hand_over_jobs(self, report: CellReport) -> None:
+        """Hand the jobs over that another cell has announced and that have no run here.
+
+        Of two cells without a run, the first by name keeps the job.
+        """
+        if self._owner is None:
+            return
+        unstarted = set(report.unstarted)
+        comes_first = report.cell < self._cell_directory.home.name
+        for job_id in report.jobs:
+            keeps = job_id in unstarted and not comes_first
+            if self._owner.has_no_run(job_id) and not keeps:
+                self._hand_over(job_id, report.cell)
+
+    def _hand_over(self, job_id: str, cell: str) -> None:
+        entries = self._owner.jobs.hand_over(self._owner.jobs.jobs_by_id[job_id])
+        for entry in sorted(entries):
+            self._redirect(entry, job_id, cell)
+
+    def _find_jobs_here(self, envelope: Envelope) -> list[str]:
+        """Return the jobs announced in an envelope that are open here as well."""
+        if self._owner is None:
+            return []
+        jobs_by_id = self._owner.jobs.jobs_by_id
+        reports = [message for message in envelope.messages if isinstance(message, CellReport)]
+        return [name for report in reports for name in report.jobs or () if name in jobs_by_id]
 
     def _reject_misrouted(self, sender: EntryInfo, message: Submit) -> None:
         """Drop a job for a cell of another layout, and tell its sender the layout.
@@ -654,14 +713,14 @@
             return None
         return self._cell_directory.cell_with_job(message.job.id, refused_by=message.refused_by)
 
-    def _redirect(self, sender: EntryInfo, job_id: str, cell: str) -> None:
-        """Tell an entry that its caller's job is in another cell, from an earlier submission."""
-        log.info("job_elsewhere job=%s entry=%s cell=%s", job_id, sender.name, cell)
+    def _redirect(self, entry: str, job_id: str, cell: str) -> None:
+        """Tell an entry that its caller's job is in another cell, by another submission."""
+        log.info("job_elsewhere job=%s entry=%s cell=%s", job_id, entry, cell)
         outcome = Outcome(
             verdict=Verdict.UNKNOWN, reason="runs in another cell", retry_after_s=RETRY_AFTER_S
         )
         message = JobEnded(job=job_id, outcome=outcome, fence=self._owner.fence, running_in=cell)
-        self._send_to_entries({sender.name}, message)
+        self._send_to_entries({entry}, message)
 
     def _end_unannounced_jobs(self) -> None:
         """End the jobs that the owner of another cell might start without knowing of them."""
@@ -708,7 +767,7 @@
         for message in messages:
             self._note_delivered(link.peer.name, message)
             if isinstance(message, CellReport):
-                self._announcements.note_delivered(link.peer.incarnation, message)
+                self._note_announced(link.peer, message, receipt)
         self.evacuations.update_from_peer(receipt.evacuations, entry=receipt.receiver.name)
         if receipt.receiver.incarnation != link.peer.incarnation:
             self._directory.note(receipt.receiver)
@@ -783,6 +842,7 @@
             self._owner.promote(fence)
         else:
             self._close_owner()
+            self._announcements.begin_term()
             self._owner = Owner(
                 fence=fence,
                 domain=domain or None,
@@ -813,7 +873,7 @@
         self.pending_jobs.note_unsent(
             self._directory.withdraw_jobs(owners=self._router.owner_names())
         )
-        self._send_heartbeats()
+        self._send_heartbeats(with_reports=True)
         self.pending_jobs.submit_pending(self._cell_directory.home.name)
 
     def _close_owner(self) -> None:
@@ -943,6 +1003,10 @@
         for link in self._directory.idle_links():
             link.send(heartbeat)
 
+    def may_start(self, job: Job) -> bool:
+        """Return whether a task of a job may start, as no other cell can run it."""
+        return self._announcements.may_start(job)
+
     def reaches_all_domains(self) -> bool:
         """Return whether all failure domains of the cell have been reachable for a while."""
         return self._reachability.reaches_all_domains(elected_at=self._elected_at)
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -112,6 +112,10 @@
     def worker_list_age_s(self) -> float:
         """Return the age of the locally known worker list in seconds."""
 
+    @abc.abstractmethod
+    def may_start(self, job: Job) -> bool:
+        """Return whether a task of a job may start, as no other cell can run it."""
+
     @abc.abstractmethod
     def on_superseded(self) -> None:
         """Look up the current owner, since a worker has accepted a higher fencing token."""
@@ -182,7 +186,7 @@
         self._scheduler = Scheduler(
             sessions_by_id=self._workers.sessions_by_id,
             may_start_tasks=self._may_start_tasks,
-            may_have_orphaned_runs=self._may_have_orphaned_runs,
+            may_run_already=self._may_run_already,
             may_run_unseen=self._unanswered_orders.may_start,
             next_run_number=self._next_run_number,
             run_times=self._run_times,
@@ -304,19 +308,20 @@
             )
         return self._run_visibility.complete
 
-    def _may_have_orphaned_runs(self, job: Job, now: float) -> bool:
+    def _may_run_already(self, job: Job, now: float) -> bool:
         """Return whether tasks of the job may be running without this owner knowing.
 
         A job that a previous owner accepted may be running on a worker that does not answer, and
         starting its tasks again would run them twice. This is ruled out once all workers have
         reported their runs, or once every lease that the previous owner can have requested has
         expired since the job was submitted here. Runs of a job that has moved from another cell may
-        be on workers of any cell, so only the leases count for it.
+        be on workers of any cell, so only the leases count for it. Another cell may run the job as
+        well if its caller has sent it there, too.
         """
-        return self._start_delay_s(job, now) > 0
+        return self._start_delay_s(job, now) > 0 or not self._listener.may_start(job)
 
     def _start_delay_s(self, job: Job, now: float) -> float:
-        """Return the seconds until tasks of the job may start; see `_may_have_orphaned_runs`."""
+        """Return the seconds until no run of an owner before can exist; see `_may_run_already`."""
         if not job.possibly_started or (not job.moved and self._sees_all_runs(now)):
             return 0.0
         lease_s = self._limits.max_lease_s * (1 + MAX_CLOCK_DRIFT_RATE)
@@ -469,12 +474,17 @@
         """
         now = self._loop.time()
         jobs = self.jobs.jobs_by_id.values()
-        ids = {job.request.id for job in jobs if now - job.arrived_at >= ANNOUNCE_AFTER_S}
+        ids = {job.request.id for job in jobs if now - job.sent_since >= ANNOUNCE_AFTER_S}
         ids.update(job_id for job_id in self._runs.job_ids() if job_id not in self.jobs.jobs_by_id)
         for session in self._workers.sessions_by_id.values():
             ids.update(task.job for task in session.orphaned_runs)
         return sorted(ids)
 
+    def has_no_run(self, job_id: str) -> bool:
+        """Return whether a job is open here, and certainly has no run in this cell."""
+        job = self.jobs.jobs_by_id.get(job_id)
+        return job is not None and not job.may_have_runs()
+
     def has_job(self, job_id: str) -> bool:
         """Return whether a job is open here, or was answered for good."""
         return job_id in self.jobs.jobs_by_id or self.jobs.is_answered(job_id)
--- a/zincwell/dispatch/_peers.py
+++ b/zincwell/dispatch/_peers.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from zincwell.dispatch._background import BackgroundTasks
-from zincwell.dispatch._clocks import PeerClock
+from zincwell.dispatch._clocks import PeerClock, floor_ms
 from zincwell.dispatch._messages import Cancel, Envelope, Message, Ping, Receipt, Submit
 from zincwell.dispatch._types import EntryInfo, Evacuations
 from zincwell.dispatch.ports import PeerCallError, PeerClient
@@ -249,7 +249,7 @@
             envelope = Envelope(
                 sender=self.me,
                 sequence=sequence,
-                sent_at=now,
+                sent_at=floor_ms(now),
                 messages=self._in_flight,
                 receiver=self.peer.incarnation,
                 receiver_clock_s=self._read_peer_clock(),
@@ -280,4 +280,4 @@
         return receipt
 
     def _read_peer_clock(self) -> float | None:
-        return self.peer_clock.lower_bound_s() if self.peer_clock.is_known() else None
+        return floor_ms(self.peer_clock.lower_bound_s()) if self.peer_clock.is_known() else None
--- a/zincwell/dispatch/_scheduler.py
+++ b/zincwell/dispatch/_scheduler.py
@@ -28,8 +28,8 @@
 
     :param sessions_by_id: sessions with the owner's workers.
     :param may_start_tasks: returns whether the owner may start any task yet.
-    :param may_have_orphaned_runs: returns whether a job may have runs that the owner does not
-        see, so that none of its tasks may start yet.
+    :param may_run_already: returns whether a job may have runs that the owner does not see, so
+        that none of its tasks may start yet.
     :param may_run_unseen: returns whether a task may be started by an order without an answer.
     :param next_run_number: returns the number of the next run of a task.
     :param run_times: estimates of run times.
@@ -43,7 +43,7 @@
         *,
         sessions_by_id: Mapping[str, WorkerSession],
         may_start_tasks: Callable[[float], bool],
-        may_have_orphaned_runs: Callable[[Job, float], bool],
+        may_run_already: Callable[[Job, float], bool],
         may_run_unseen: Callable[[TaskId], bool],
         next_run_number: Callable[[Task], int],
         run_times: JobRunTimeEstimator,
@@ -57,7 +57,7 @@
         self.starts_blocked = False
         self._sessions_by_id = sessions_by_id
         self._may_start_tasks = may_start_tasks
-        self._may_have_orphaned_runs = may_have_orphaned_runs
+        self._may_run_already = may_run_already
         self._may_run_unseen = may_run_unseen
         self._next_run_number = next_run_number
         self._run_times = run_times
@@ -104,7 +104,7 @@
                     if not workers_by_service:
                         break
                 continue
-            if self._may_have_orphaned_runs(job, now):
+            if self._may_run_already(job, now):
                 continue
             if isinstance(workers, UnevenWorkers):
                 self._place_job_by_objective(job, workers, now)
