Give the soak's callers the users' time budgets and long tasks

Seven callers in ten state Timeout-Ms 1548 and are gone after that; they send the job again 1.3 s later, as before, to any entry. A job in seven has tasks of 1 to 3.5 s, so that its first run may go on when its caller is back.

--- a/bench/soak/_callers.py
+++ b/bench/soak/_callers.py
@@ -20,8 +20,16 @@
 PATIENCE_S = 30.0
 # A channel that ends sooner after the request may have crossed with it.
 CROSSING_S = 0.2
+# Time budget of the users' callers, which they state, and after which they are gone.
+BUDGET_S = 1.548
+# This share of the callers has it; the others wait for as long as it takes.
+BUDGET_SHARE = 0.7
+# Seconds that tasks take, and those of this share of the jobs.
+RUN_S = (0.06, 0.2, 0.9)
+LONG_RUN_S = (1.0, 3.5)
+LONG_SHARE = 0.15
 # Seconds between jobs, which ask for a good half of the workers.
-PAUSE_S = (0.02, 0.15)
+PAUSE_S = (0.02, 0.2)
 # This share of the callers leaves within 0.3 s.
 LEAVING_SHARE = 0.03
 
@@ -69,11 +77,17 @@
             spec=f"spec of {job_id}",
             count=self._random.randint(1, 4),
             cpu=self._random.choice([9_000, 27_000]),
-            run_s=run_s or self._random.choice([0.06, 0.2, 0.9]),
+            run_s=run_s or self._draw_run_s(),
+            budget_s=BUDGET_S if not run_s and self._random.random() < BUDGET_SHARE else None,
         )
         self._checks.jobs_by_id[job_id] = job
         return job
 
+    def _draw_run_s(self) -> float:
+        if self._random.random() < LONG_SHARE:
+            return self._random.uniform(*LONG_RUN_S)
+        return self._random.choice(RUN_S)
+
     async def call(self, job: SoakJob) -> None:
         """Send a job until it has an answer that says what became of it."""
         for _ in range(MAX_SENDINGS):
@@ -90,12 +104,15 @@
         url = f"http://{entry.ip}:{entry.callers_port}/{route}/{job.id}"
         step = {"count": job.count, "cpu": job.cpu, "memMb": 64, "estimateMs": job.run_s * 1000}
         body = {"spec": job.spec, "bestEffort": True, "steps": [step]}
-        timeout = aiohttp.ClientTimeout(total=PATIENCE_S, sock_connect=1.0)
+        headers = {"Host": HOST}
+        if job.budget_s is not None:
+            headers["Timeout-Ms"] = str(round(job.budget_s * 1000))
+        timeout = aiohttp.ClientTimeout(total=job.budget_s or PATIENCE_S, sock_connect=1.0)
         if self._random.random() < LEAVING_SHARE:
             timeout = aiohttp.ClientTimeout(total=self._random.uniform(0.05, 0.3))
         try:
             async with self._session.post(
-                url, json=body, headers={"Host": HOST}, timeout=timeout
+                url, json=body, headers=headers, timeout=timeout
             ) as response:
                 answer = await response.json()
         except TimeoutError:
--- a/bench/soak/_checks.py
+++ b/bench/soak/_checks.py
@@ -22,13 +22,17 @@
 
 @dataclass(kw_only=True, eq=False)
 class SoakJob:
-    """A caller's job and what became of it."""
+    """A caller's job and what became of it.
+
+    :param budget_s: how long its caller waits for an answer, None for as long as it takes.
+    """
 
     id: str
     spec: str
     count: int
     cpu: int
     run_s: float
+    budget_s: float | None = None
     sendings: int = 0
     refusals: int = 0
     done: set[int] = field(default_factory=set)
