--- a/zincwell/dispatch/_announcements.py
+++ b/zincwell/dispatch/_announcements.py
@@ -100,7 +100,7 @@
     def note_accepted(self, job: Job) -> None:
         """Record that a job was accepted; it may have to be announced before it starts."""
         if job.times.must_be_announced_first():
-            self._awaited_since = job.accepted_at
+            self._awaited_since = max(self._awaited_since, job.accepted_at)
 
     def cells_to_tell(self) -> list[str]:
         """Return the cells whose last report did not name a job that waits to be announced."""
--- a/zincwell/dispatch/_cell_reporter.py
+++ b/zincwell/dispatch/_cell_reporter.py
@@ -63,6 +63,7 @@
     def tell(self, owner: Owner, cells: Collection[str]) -> None:
         """Send the home cell's report at once to the owners of these cells."""
         owners_by_cell = self._owners_by_cell()
+        self._announcements.set_owners(owners_by_cell)
         named = {cell: owners_by_cell[cell] for cell in cells if cell in owners_by_cell}
         if named:
             self._announce(self._make_report(owner), owner, named)
