Refuse a job that could not be announced and has not started

Its callers were told "unknown" although no task of it was ever ordered. Since a job that came late is held back until it was announced, this is the usual case for such jobs while another owner does not answer; a refusal is true, and the entry may try another cell.

--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -664,10 +664,11 @@
 
         Of two cells without a run, the first by name keeps the job.
         """
-        if self._owner is None:
+        home = self._cell_directory.home.name
+        if self._owner is None or report.cell == home:
             return
         unstarted = set(report.unstarted)
-        comes_first = report.cell < self._cell_directory.home.name
+        comes_first = report.cell < home
         for job_id in report.jobs:
             keeps = job_id in unstarted and not comes_first
             if self._owner.has_no_run(job_id) and not keeps:
@@ -725,13 +726,13 @@
     def _end_unannounced_jobs(self) -> None:
         """End the jobs that the owner of another cell might start without knowing of them."""
         jobs = self._owner.jobs
+        reason = "not announced to another cell"
         for job in self._announcements.find_jobs_to_end(jobs.jobs_by_id.values()):
             self._metrics.count("jobs_unannounced")
-            outcome = Outcome(
-                verdict=Verdict.UNKNOWN,
-                reason="not announced to another cell",
-                retry_after_s=RETRY_AFTER_S,
-            )
+            if not job.started:
+                jobs.refuse(job, reason)
+                continue
+            outcome = Outcome(verdict=Verdict.UNKNOWN, reason=reason, retry_after_s=RETRY_AFTER_S)
             jobs.end(job, outcome, remember=False)
 
     def _layout_notice(self) -> LayoutNotice:
