Count the time that a request may have waited while its entry stood still

In the users' record one run of each pair was stopped as well.

Cause: an entry took the time at which it read a request for the time at which it was sent.

Now an entry remembers when its event loop turned last, by a timer that it has anyway. Between two turns all sockets are polled, so what is read now came after the turn before the last; on a new connection, after the turn before it was accepted. What lies between counts as the greatest possible age of the request. Times go by the clock that counts while a VM is suspended, at the owner as well.

--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -509,11 +509,16 @@
         values = [value for key, value in self.topics[Topic.CLAIMS] if key == LAYOUT_KEY]
         return decode_layout(values[-1]) if values else SINGLE_CELL_LAYOUT
 
-    async def run_job(self, entry: str, job: JobRequest) -> Outcome:
+    async def run_job(self, entry: str, job: JobRequest, *, read_late_s: float = 0.0) -> Outcome:
+        """Submit a job at an entry and return its outcome.
+
+        :param read_late_s: how long the request may have waited in the entry's socket.
+        """
         node = self.nodes[entry]
         called_at = self.loop.time()
         self.called_at_by_job[job.id].append(called_at)
-        call = asyncio.ensure_future(node.pending_jobs.run(job))
+        sent_since = called_at + self.suspended_s[entry] - read_late_s
+        call = asyncio.ensure_future(node.pending_jobs.run(job, sent_since=sent_since))
         self.calls_by_node[node.me.incarnation].append(call)
         try:
             outcome = await call
--- a/tests/test_held_up_submissions.py
+++ b/tests/test_held_up_submissions.py
@@ -4,14 +4,16 @@
 
 import asyncio
 
+import msgspec
 import pytest
 from testtools.assertions import assert_that
 from testtools.matchers import Contains, Equals, Not
 
 from tests.dispatch_world import World
 from tests.pool_jobs import finish, submit, verdicts
+from tests.test_pool_faults import USUAL_PAUSE_S, FaultSeries, random_seeds
 from zincwell.dispatch._messages import Submit
-from zincwell.dispatch._types import Verdict
+from zincwell.dispatch._types import JobRequest, Verdict
 
 pytestmark = pytest.mark.looptime
 
@@ -174,3 +176,44 @@
     await finish([job], within_s=0.12)
     await finish([busy])
     assert_that(verdicts([job]), Equals({Verdict.SUCCEEDED}))
+
+
+class HeldUpSeries(FaultSeries):
+    """Links to owners that hold messages up, restarts, and callers with the users' time budget."""
+
+    RUN_MS = (200, 900, 3500)
+    HOLD_UP_SHARE = 0.6
+
+    async def _call(self, job: JobRequest) -> None:
+        job = msgspec.structs.replace(job, timeout_ms=TIMEOUT_MS)
+        for pause_s in (0.0, RETRANSMIT_S, RETRANSMIT_S):
+            await asyncio.sleep(pause_s)
+            entry = self.random.choice(sorted(self.world.nodes))
+            outcome = await self.world.run_job(entry, job)
+            if outcome.verdict is not Verdict.UNKNOWN:
+                return
+
+    async def _fault(self) -> None:
+        if self.random.random() < self.HOLD_UP_SHARE:
+            await self._hold_up()
+            return
+        kind = self.random.choice(["restart", "owner"])
+        names = self.world.owners() if kind == "owner" else sorted(self.world.nodes)
+        if names:
+            await self._restart(self.random.choice(names), drain=False)
+
+    async def _hold_up(self) -> None:
+        """Hold up what some entries send to all owners, for up to 3.5 s."""
+        names = sorted(self.world.nodes)
+        for entry in self.random.sample(names, 3):
+            self.world.delayed_links |= {(entry, name) for name in names if name != entry}
+        await asyncio.sleep(self.random.uniform(0.3, 3.5))
+        present = self.world.nodes
+        self.world.late_envelopes = [e for e in self.world.late_envelopes if e[0] in present]
+        self.world.deliver_late()
+
+
+@pytest.mark.parametrize("seed", random_seeds())
+async def test_random_held_up_messages_run_no_job_in_two_cells(world: World, seed: int):
+    await world.open_cells(workers=3)
+    await HeldUpSeries(world, seed, USUAL_PAUSE_S).inject(faults=8)
--- a/zincwell/dispatch/__init__.py
+++ b/zincwell/dispatch/__init__.py
@@ -6,7 +6,8 @@
 """
 
 from zincwell.dispatch._background import BackgroundTasks
+from zincwell.dispatch._loop_ticks import LoopTicks
 from zincwell.dispatch._node import Node
 from zincwell.dispatch._types import Limits
 
-__all__ = ["BackgroundTasks", "Limits", "Node"]
+__all__ = ["BackgroundTasks", "Limits", "LoopTicks", "Node"]
--- a/zincwell/dispatch/_announcements.py
+++ b/zincwell/dispatch/_announcements.py
@@ -6,10 +6,9 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import math
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, replace
 
 from zincwell.dispatch._jobs import Job
@@ -51,16 +50,19 @@
 
 
 class Announcements:
-    """Tracks which reports the owners of the other cells have acknowledged."""
+    """Tracks which reports the owners of the other cells have acknowledged.
 
-    def __init__(self) -> None:
+    :param clock: clock of this entry, including time during which the VM was suspended.
+    """
+
+    def __init__(self, *, clock: Callable[[], float]) -> None:
         self._views_by_cell: dict[str, _CellView] = {}
         # Ids of open jobs that were logged as unannounced.
         self._unannounced: set[str] = set()
         # When the newest job was accepted that must be announced before it starts.
         self._awaited_since = -math.inf
         self._has_held_back = False
-        self._loop = asyncio.get_running_loop()
+        self._clock = clock
 
     def begin_term(self) -> None:
         """Forget what was told in an earlier term as owner."""
@@ -73,7 +75,7 @@
         for cell, owner in owners_by_cell.items():
             view = self._views_by_cell.get(cell)
             if view is None:
-                contact = CellContact(opened_at=self._loop.time())
+                contact = CellContact(opened_at=self._clock())
                 view = _CellView(owner=owner.incarnation, contact=contact)
             view.owner = owner.incarnation
             views_by_cell[cell] = view
@@ -82,7 +84,7 @@
     def note_sent(self, cell: str, report: CellReport) -> None:
         """Record that a report is on its way to the owner of a cell."""
         view = self._views_by_cell[cell]
-        view.report, view.made_at = report, self._loop.time()
+        view.report, view.made_at = report, self._clock()
 
     def note_delivered(
         self, owner: str, report: CellReport, *, jobs_there: Collection[str]
@@ -100,7 +102,7 @@
     def note_accepted(self, job: Job) -> None:
         """Record that a job was accepted; it may have to be announced before it starts."""
         if job.times.must_be_announced_first():
-            self._awaited_since = max(self._awaited_since, job.accepted_at)
+            self._awaited_since = max(self._awaited_since, job.times.accepted_at)
 
     def cells_to_tell(self) -> list[str]:
         """Return the cells whose last report did not name a job that waits to be announced."""
@@ -109,8 +111,8 @@
 
     def may_start(self, job: Job) -> bool:
         """Return whether a task of a job may start, as no other cell can run it."""
-        now = self._loop.time()
-        if now - job.sent_since <= ANNOUNCE_BY_S and not job.times.must_be_announced_first():
+        now = self._clock()
+        if now - job.times.sent_since <= ANNOUNCE_BY_S and not job.times.must_be_announced_first():
             return True
         if all(view.may_start(job, now) for view in self._views_by_cell.values()):
             return True
@@ -124,8 +126,8 @@
 
     def find_jobs_to_end(self, jobs: Iterable[Job]) -> list[Job]:
         """Return the jobs that must end because another cell might run them as well."""
-        now = self._loop.time()
-        old_jobs = [job for job in jobs if now - job.sent_since > ANNOUNCE_BY_S]
+        now = self._clock()
+        old_jobs = [job for job in jobs if now - job.times.sent_since > ANNOUNCE_BY_S]
         self._log_unannounced(old_jobs)
         contacts = [view.contact for view in self._views_by_cell.values()]
         return [
--- a/zincwell/dispatch/_job_registry.py
+++ b/zincwell/dispatch/_job_registry.py
@@ -13,6 +13,7 @@
 from zincwell.dispatch._jobs import AnswerCache, Job
 from zincwell.dispatch._metrics import Metrics
 from zincwell.dispatch._types import JobRequest, Outcome, Verdict
+from zincwell.dispatch.decisions import JobTimes
 
 log = logging.getLogger("zincwell.owner")
 
@@ -26,6 +27,7 @@
     :param on_ended: called with each ended job, to stop its remaining runs.
     :param answer: called with a job's id, the names of the entries that wait for it, and its
         outcome.
+    :param clock: clock of this entry, including time during which the VM was suspended.
     """
 
     def __init__(
@@ -34,6 +36,7 @@
         on_ended: Callable[[Job], None],
         answer: Callable[[str, set[str], Outcome], None],
         metrics: Metrics,
+        clock: Callable[[], float],
     ) -> None:
         self.jobs_by_id: dict[str, Job] = {}
         self._on_ended = on_ended
@@ -44,6 +47,7 @@
         # its timeout.
         self._timeouts: list[tuple[float, str]] = []
         self._metrics = metrics
+        self._clock = clock
         self._loop = asyncio.get_running_loop()
 
     def open(
@@ -55,6 +59,7 @@
         possibly_started: bool,
         moved: bool = False,
         delay_s: float = 0.0,
+        unsure_s: float = 0.0,
     ) -> Job | None:
         """Open a job and return it.
 
@@ -62,6 +67,7 @@
         answered or cancelled, so that the entry gets that answer.
 
         :param delay_s: how long the submission was on its way, in seconds.
+        :param unsure_s: how long the request may have waited before its entry read it, in seconds.
         """
         now = self._loop.time()
         requested_at = now - age_s - delay_s
@@ -89,13 +95,18 @@
             possibly_started=possibly_started,
             moved=moved,
             accepted_at=now,
-            sent_since=requested_at,
+            times=self._times(age_s + delay_s + unsure_s),
         )
         self.jobs_by_id[request.id] = job
         job.answer_by = -math.inf
         self._note_submission(job, request, entry=entry, requested_at=requested_at)
         return job
 
+    def _times(self, age_s: float) -> JobTimes:
+        """Return the times of a job that is accepted now, by its greatest possible age."""
+        accepted_at = self._clock()
+        return JobTimes(sent_since=accepted_at - age_s, accepted_at=accepted_at)
+
     def _note_submission(
         self, job: Job, request: JobRequest, *, entry: str, requested_at: float
     ) -> None:
--- a/zincwell/dispatch/_jobs.py
+++ b/zincwell/dispatch/_jobs.py
@@ -59,8 +59,8 @@
     """An open job.
 
     :param arrived_at: when the caller's request arrived, on this entry's clock.
-    :param sent_since: earliest time at which the first caller can have sent it, on this entry's
-        clock.
+    :param times: when its first caller can have sent it and when it was accepted, on the clock that
+        includes time during which the VM was suspended.
     :param possibly_started: whether a previous owner may have started tasks of it.
     :param moved: whether that owner's cell was dissolved by a new layout.
     :param accepted_at: when this owner received it, on this entry's clock.
@@ -85,14 +85,13 @@
     :param min_run_s_by_step: shortest run time of a done task, for each step that has one, as on a
         typical worker.
     :param done_runs_by_step: for each step with tasks that are not done, the runs of the others.
-    :ivar times: when it was sent and accepted.
     """
 
     request: JobRequest
     arrived_at: float
     possibly_started: bool
     accepted_at: float
-    sent_since: float = -math.inf
+    times: JobTimes = JobTimes(sent_since=-math.inf, accepted_at=-math.inf)
     moved: bool = False
     waiting_entries: dict[str, float] = field(default_factory=dict)
     requested_at: float = -math.inf
@@ -112,11 +111,9 @@
     left_waiting: bool = False
     min_run_s_by_step: dict[int, float] = field(default_factory=dict)
     done_runs_by_step: dict[int, list[DoneRun]] = field(default_factory=dict)
-    times: JobTimes = field(init=False)
 
     def __post_init__(self) -> None:
         """Create the tasks of all steps."""
-        self.times = JobTimes(sent_since=self.sent_since, accepted_at=self.accepted_at)
         for number, step in enumerate(self.request.steps):
             ids = (TaskId(self.request.id, number, index) for index in range(step.count))
             self.tasks.append([Task(id=task_id) for task_id in ids])
--- a/zincwell/dispatch/_messages.py
+++ b/zincwell/dispatch/_messages.py
@@ -11,7 +11,9 @@
 class Submit(Struct, frozen=True, kw_only=True, tag="submit", omit_defaults=True):
     """Entry to owner: run this job.
 
-    :param age_s: time since the caller's request arrived, in seconds.
+    :param age_s: time since the caller's request was read, in seconds.
+    :param unsure_s: how long the request may have waited before that, since its entry stood still,
+        in seconds.
     :param exposed: whether an earlier submission may have started tasks of it.
     :param done: tasks known to be done, as pairs of step and index.
     :param cell: name of the cell whose owner is to run it; None from a build before cells were
@@ -23,6 +25,7 @@
 
     job: JobRequest
     age_s: float = 0.0
+    unsure_s: float = 0.0
     exposed: bool = False
     done: list[tuple[int, int]] = []
     cell: str | None = None
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -152,7 +152,7 @@
             clock=self._clock,
             is_cell_member=lambda entry: self._cell_directory.covers(entry.zone, entry.name),
         )
-        self._announcements = Announcements()
+        self._announcements = Announcements(clock=self._clock)
         self._reporter = CellReporter(
             cell_directory=self._cell_directory,
             directory=self._directory,
@@ -183,7 +183,9 @@
         """Start to follow the store, register this entry and join the election of its cell."""
         self._opened_at = self._loop.time()
         self._join_cell(at_once=False)
-        self.pending_jobs = PendingJobTracker(channel=self._router, metrics=self._metrics)
+        self.pending_jobs = PendingJobTracker(
+            channel=self._router, metrics=self._metrics, clock=self._clock
+        )
         self._configuration_feed = TopicFollower(
             store=self._store,
             topic=Topic.CONFIGURATION,
@@ -629,6 +631,7 @@
             moved=message.moved,
             done=message.done,
             delay_s=delay_s,
+            unsure_s=message.unsure_s,
         )
         job = self._owner.jobs.jobs_by_id.get(message.job.id)
         if job is not None:
@@ -858,6 +861,7 @@
                 previous_owner_active_until=(
                     self.election.previous_owner_active_until() if domain else -math.inf
                 ),
+                clock=self._clock,
             )
             self._owner.evacuate(self.evacuations.domains)
         self._elected_at = self._clock()
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -132,6 +132,8 @@
     :param covers: returns whether a worker belongs to the cell.
     :param renew_only_adopted: renew no leases on workers with orphaned runs. Owners of other cells
         may rely on these runs' leases expiring.
+    :param clock: clock of this entry, including time during which the VM was suspended; by default
+        that of the event loop.
     :param previous_owner_active_until: event loop time until which an owner that is cut off from a
         stand-in may request leases.
     """
@@ -150,6 +152,7 @@
         covers: Callable[[WorkerInfo], bool] = lambda info: True,
         renew_only_adopted: bool = False,
         previous_owner_active_until: float = -math.inf,
+        clock: Callable[[], float] | None = None,
     ) -> None:
         self._previous_owner_active_until = previous_owner_active_until
         self._metrics = metrics
@@ -160,8 +163,12 @@
         self._typical_task_cpu = 1
         self.fence = fence
         self.domain = domain
+        self._clock = clock or asyncio.get_running_loop().time
         self.jobs = JobRegistry(
-            on_ended=self._on_job_ended, answer=listener.on_job_ended, metrics=metrics
+            on_ended=self._on_job_ended,
+            answer=listener.on_job_ended,
+            metrics=metrics,
+            clock=self._clock,
         )
         self._client = client
         self._listener = listener
@@ -341,6 +348,7 @@
         done: list[tuple[int, int]],
         moved: bool = False,
         delay_s: float = 0.0,
+        unsure_s: float = 0.0,
     ) -> None:
         """Accept a job, or add an entry to those that wait for it.
 
@@ -351,6 +359,7 @@
         :param moved: whether that owner's cell was dissolved, so that it may have started tasks on
             workers of other cells.
         :param delay_s: how long the submission was on its way, in seconds.
+        :param unsure_s: how long the request may have waited before its entry read it, in seconds.
         """
         job = self.jobs.open(
             request,
@@ -359,6 +368,7 @@
             possibly_started=possibly_started,
             moved=moved,
             delay_s=delay_s,
+            unsure_s=unsure_s,
         )
         known = {TaskId(request.id, step, index) for step, index in done}
         if job is None:
@@ -370,13 +380,14 @@
         self._adopt_existing_runs(job)
         self._overload.note_arrival(job, self._loop.time())
         log.info(
-            "job_taken job=%s entry=%s cell=%s fence=%d age_ms=%d delay_ms=%d exposed=%s moved=%s"
-            " tasks=%d waiting=%d",
+            "job_taken job=%s entry=%s cell=%s fence=%d age_ms=%d unsure_ms=%d delay_ms=%d"
+            " exposed=%s moved=%s tasks=%d waiting=%d",
             request.id,
             entry,
             self._cell,
             self.fence,
             age_s * 1000,
+            unsure_s * 1000,
             delay_s * 1000,
             possibly_started,
             moved,
@@ -472,9 +483,9 @@
 
         These are the open jobs of a certain age, and all that have runs, also if they have ended.
         """
-        now = self._loop.time()
+        now = self._clock()
         jobs = self.jobs.jobs_by_id.values()
-        ids = {job.request.id for job in jobs if now - job.sent_since >= ANNOUNCE_AFTER_S}
+        ids = {job.request.id for job in jobs if now - job.times.sent_since >= ANNOUNCE_AFTER_S}
         ids.update(job_id for job_id in self._runs.job_ids() if job_id not in self.jobs.jobs_by_id)
         for session in self._workers.sessions_by_id.values():
             ids.update(task.job for task in session.orphaned_runs)
--- a/zincwell/dispatch/_pending_jobs.py
+++ b/zincwell/dispatch/_pending_jobs.py
@@ -5,13 +5,14 @@
 import abc
 import asyncio
 import logging
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
 
 from zincwell.dispatch._background import BackgroundTasks
 from zincwell.dispatch._caller_timeouts import entry_answer_by_s, owner_answer_by_s
 from zincwell.dispatch._cancelled_jobs import ANY_CELL, CancelledJob, CancelledJobs
 from zincwell.dispatch._former_owners import FormerOwners
+from zincwell.dispatch._loop_ticks import LoopTicks
 from zincwell.dispatch._messages import Cancel, JobEnded, Submit
 from zincwell.dispatch._metrics import Metrics
 from zincwell.dispatch._types import EntryInfo, JobRequest, Outcome, Verdict
@@ -101,6 +102,7 @@
     from an earlier submission of its caller.
 
     :param arrived_at: event loop time of the first caller's request.
+    :param sent_since: earliest time at which it can have been sent, by the entry's clock.
     :param cell: cell whose owner has the job, or will get it.
     :param refused_by: cells whose owners have refused it.
     :param waiters: one future for each waiting caller, in order of their calls.
@@ -115,6 +117,7 @@
 
     request: JobRequest
     arrived_at: float
+    sent_since: float
     cell: str
     refused_by: set[str] = field(default_factory=set)
     waiters: dict[asyncio.Future[Outcome], None] = field(default_factory=dict)
@@ -132,15 +135,23 @@
 
     Only the owner that has the job can confirm that nothing was started. Once an owner that had
     the job is lost, a job that is not answered by a later owner has an unknown outcome.
+
+    :param clock: clock of this entry, including time during which the VM was suspended; by default
+        that of the event loop.
+    :ivar ticks: tells how long a request may have waited before it was read.
     """
 
-    def __init__(self, *, channel: OwnerChannel, metrics: Metrics) -> None:
+    def __init__(
+        self, *, channel: OwnerChannel, metrics: Metrics, clock: Callable[[], float] | None = None
+    ) -> None:
         self._channel = channel
         self._metrics = metrics
         self._pending_by_id: dict[str, PendingJob] = {}
         self._cancelled = CancelledJobs()
         self._former_owners = FormerOwners()
         self._loop = asyncio.get_running_loop()
+        self._clock = clock or self._loop.time
+        self.ticks = LoopTicks(clock=self._clock)
         self._tasks = BackgroundTasks()
         self._tasks.spawn(self._review_forever())
 
@@ -152,21 +163,33 @@
         """Return the number of jobs that wait for an answer."""
         return len(self._pending_by_id)
 
-    async def run(self, request: JobRequest, *, arrived_at: float | None = None) -> Outcome:
+    async def run(
+        self,
+        request: JobRequest,
+        *,
+        arrived_at: float | None = None,
+        sent_since: float | None = None,
+    ) -> Outcome:
         """Submit a job and wait for its outcome, at most as long as its caller waits.
 
         The task is cancelled when the caller disconnects. Without other callers, the job is then
         cancelled at its owner.
 
-        :param arrived_at: event loop time of the caller's request, by default now.
+        :param arrived_at: event loop time at which the caller's request was read, by default now.
+        :param sent_since: earliest time at which it can have been sent, by the entry's clock; by
+            default when it was read.
         """
         if arrived_at is None:
             arrived_at = self._loop.time()
+        if sent_since is None:
+            sent_since = self._clock() - (self._loop.time() - arrived_at)
         pending = self._pending_by_id.get(request.id)
         if pending is None:
             self._cancelled.forget(request.id)
             cell = self._channel.choose_cell(request, refused_by=()) or self._channel.home_cell()
-            pending = PendingJob(request=request, arrived_at=arrived_at, cell=cell)
+            pending = PendingJob(
+                request=request, arrived_at=arrived_at, sent_since=sent_since, cell=cell
+            )
             pending.moved = pending.possibly_started = self._former_owners.may_run(request.id)
             self._pending_by_id[request.id] = pending
             self._submit(pending)
@@ -456,11 +479,13 @@
                 pending.resubmitted,
                 (pending.submitted_at - pending.arrived_at) * 1000,
             )
+        age_s = self._loop.time() - pending.arrived_at
         self._channel.submit(
             pending.cell,
             Submit(
                 job=pending.request,
-                age_s=self._loop.time() - pending.arrived_at,
+                age_s=age_s,
+                unsure_s=max(self._clock() - pending.sent_since - age_s, 0.0),
                 exposed=pending.possibly_started,
                 done=sorted(pending.done),
                 cell=pending.cell,
@@ -514,6 +539,7 @@
     async def _review_forever(self) -> None:
         while True:
             await asyncio.sleep(REVIEW_INTERVAL_S)
+            self.ticks.note()
             self._submit_released(self._former_owners.release_overdue(now=self._loop.time()))
             self.resubmit(after_s=RESUBMIT_AFTER_S)
             self._reroute_from_silent_owners()
--- a/zincwell/platform/_callers.py
+++ b/zincwell/platform/_callers.py
@@ -91,7 +91,9 @@
             return _reject(request, 501, str(error))
         except BadRequestError as error:
             return _reject(request, 400, str(error))
-        outcome = await self._node.pending_jobs.run(job, arrived_at=arrived_at)
+        outcome = await self._node.pending_jobs.run(
+            job, arrived_at=arrived_at, sent_since=request.sent_since
+        )
         response = _make_outcome_response(outcome)
         response.close = self._node.leaving
         return response
--- a/zincwell/platform/_process.py
+++ b/zincwell/platform/_process.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from zincwell.dispatch import Node
+from zincwell.dispatch import LoopTicks, Node
 from zincwell.dispatch._types import EntryInfo
 from zincwell.exceptions import SettingsError
 from zincwell.logs import configure_bounded_logging
@@ -74,7 +74,9 @@
         await _start_server(
             settings.peers, PeerListener(node=node).handle, lambda: MAX_ENVELOPE_BYTES
         ),
-        await _start_server(settings.callers, callers.handle, callers.body_limit),
+        await _start_server(
+            settings.callers, callers.handle, callers.body_limit, ticks=node.pending_jobs.ticks
+        ),
         await _start_server(f"{settings.ip}:{METRICS_PORT}", MetricsListener(node=node).handle),
     ]
     gc.collect()
@@ -108,9 +110,13 @@
 
 
 async def _start_server(
-    address: str, handler: Handler, body_limit: Callable[[], int] = lambda: 0
+    address: str,
+    handler: Handler,
+    body_limit: Callable[[], int] = lambda: 0,
+    *,
+    ticks: LoopTicks | None = None,
 ) -> HttpServer:
-    server = HttpServer(handler=handler, body_limit=body_limit)
+    server = HttpServer(handler=handler, body_limit=body_limit, ticks=ticks)
     await server.listen(address)
     return server
 
--- a/zincwell/platform/_server.py
+++ b/zincwell/platform/_server.py
@@ -13,7 +13,7 @@
 import httptools
 import msgspec
 
-from zincwell.dispatch import BackgroundTasks
+from zincwell.dispatch import BackgroundTasks, LoopTicks
 
 log = logging.getLogger("zincwell.http")
 
@@ -31,12 +31,17 @@
 
 @dataclass(slots=True, kw_only=True)
 class HttpRequest:
-    """A complete request; header names are in lower case."""
+    """A complete request; header names are in lower case.
+
+    :param sent_since: earliest time at which it can have arrived, by the clock of the process; None
+        if the server was not told when sockets were polled.
+    """
 
     method: str
     path: str
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
+    sent_since: float | None = None
 
 
 @dataclass(slots=True, kw_only=True)
@@ -61,11 +66,19 @@
 
     :param handler: responds to one request; cancelled when the client closes the connection.
     :param body_limit: returns the current size limit of a request body, in bytes.
+    :param ticks: tells when sockets were polled, if requests are to have the time of their arrival.
     """
 
-    def __init__(self, *, handler: Handler, body_limit: Callable[[], int]) -> None:
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        body_limit: Callable[[], int],
+        ticks: LoopTicks | None = None,
+    ) -> None:
         self._handler = handler
         self._body_limit = body_limit
+        self._ticks = ticks
         self._connections: set[_Connection] = set()
         self._listener: asyncio.AbstractServer | None = None
         self._loop = asyncio.get_running_loop()
@@ -93,7 +106,10 @@
 
     def _make_connection(self) -> _Connection:
         return _Connection(
-            handler=self._handler, body_limit=self._body_limit, connections=self._connections
+            handler=self._handler,
+            body_limit=self._body_limit,
+            connections=self._connections,
+            ticks=self._ticks,
         )
 
     def _close_idle(self) -> None:
@@ -112,8 +128,13 @@
         handler: Handler,
         body_limit: Callable[[], int],
         connections: set[_Connection],
+        ticks: LoopTicks | None,
     ) -> None:
         self._handler = handler
+        self._ticks = ticks
+        # Since when the connection may have been waiting to be accepted, or to be read again.
+        self._unread_since = self._read_again_at = 0.0
+        self._data_since: float | None = None
         self._body_limit = body_limit
         self._connections = connections
         self._parser = httptools.HttpRequestParser(self)
@@ -145,12 +166,31 @@
         self._body_parts: list[bytes] = []
         self._body_bytes = 0
         self._rejection: HttpResponse | None = None
+        self._request_since = self._data_since
+
+    def _stop_reading(self) -> None:
+        if self._ticks is not None:
+            self._unread_since = self._ticks.unread_since()
+
+    def _start_reading(self) -> None:
+        if self._ticks is not None:
+            self._read_again_at = self._ticks.now()
+
+    def _find_data_since(self) -> float | None:
+        """Return the earliest time at which the data that is read now can have arrived."""
+        if self._ticks is None:
+            return None
+        since = self._ticks.unread_since()
+        return min(since, self._unread_since) if since < self._read_again_at else since
 
     # -- asyncio.Protocol callbacks ---------------------------------------------------------
 
     def connection_made(self, transport: asyncio.Transport) -> None:
         """Register the connection and start to process its requests."""
         self._transport = transport
+        # It was established after the listener was polled last.
+        self._stop_reading()
+        self._start_reading()
         self._connections.add(self)
         self._tasks.spawn(self._process_requests())
 
@@ -161,6 +201,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Feed received bytes to the parser."""
+        self._data_since = self._find_data_since()
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -238,6 +279,7 @@
                 path=unquote(target.decode("latin-1")),
                 headers=self._headers,
                 body=b"".join(self._body_parts),
+                sent_since=self._request_since,
             )
         )
 
@@ -249,6 +291,7 @@
         self._wakeup.set()
         if len(self._pending) > MAX_PIPELINED_REQUESTS and not self._paused:
             self._paused = True
+            self._stop_reading()
             self._transport.pause_reading()
 
     async def _process_requests(self) -> None:
@@ -265,6 +308,7 @@
             self._last_activity_at = self._loop.time()
             if self._paused:
                 self._paused = False
+                self._start_reading()
                 self._transport.resume_reading()
 
     async def _respond(self, item: HttpRequest | HttpResponse) -> bool:
