Keep a cancellation in time, and a refused job where it went

A cancellation at a first contact counted as an hour old, and one on a link that was idle for a while as older than the request that it was meant for; it counts as new now unless it was certainly late, and the receiver's clock is read before it as before a job. A report that a cell had sent just before it refused a job made the next cell hand the job back; such reports are passed over. Jobs that wait for their announcement are announced together, 10 ms later, with what the last report said of the load, since a report of a busy owner takes a millisecond.

--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -144,7 +144,9 @@
         self.jobs: list[JobRequest] = []
         self.waited_s: list[float] = []
 
-    async def run(self, request: JobRequest, *, arrived_at: float) -> Outcome:
+    async def run(
+        self, request: JobRequest, *, arrived_at: float, sent_since: float | None
+    ) -> Outcome:
         self.waited_s.append(asyncio.get_running_loop().time() - arrived_at)
         self.jobs.append(request)
         return self.outcome
--- a/zincwell/dispatch/_cell_reporter.py
+++ b/zincwell/dispatch/_cell_reporter.py
@@ -37,6 +37,7 @@
         self._directory = directory
         self._announcements = announcements
         self._count = 0
+        self._latest: CellReport | None = None
 
     def report(self, owner: Owner, me: EntryInfo) -> list[CellReport]:
         """Send the home cell's report to other cells; return the reports for its own entries.
@@ -48,7 +49,7 @@
         if not self._cell_directory.other_cells() or owner.domain is not None:
             self._announcements.set_owners({})
             return []
-        report = self._make_report(owner)
+        report = self._latest = self._make_report(owner)
         self._cell_directory.note_owner(report.cell, me, report.fence)
         self._cell_directory.note_report(report)
         owners_by_cell = self._owners_by_cell()
@@ -61,12 +62,19 @@
         return [report, *self._cell_directory.fresh_reports()]
 
     def tell(self, owner: Owner, cells: Collection[str]) -> None:
-        """Send the home cell's report at once to the owners of these cells."""
+        """Announce the home cell's jobs at once to the owners of these cells.
+
+        What the report says of the load may be as old as the last one.
+        """
         owners_by_cell = self._owners_by_cell()
         self._announcements.set_owners(owners_by_cell)
         named = {cell: owners_by_cell[cell] for cell in cells if cell in owners_by_cell}
-        if named:
-            self._announce(self._make_report(owner), owner, named)
+        if not named:
+            return
+        report = self._latest
+        if report is None or report.fence != owner.fence:
+            report = self._make_report(owner)
+        self._announce(report, owner, named)
 
     def _make_report(self, owner: Owner) -> CellReport:
         capacity = owner.capacity_status()
--- a/zincwell/dispatch/_job_registry.py
+++ b/zincwell/dispatch/_job_registry.py
@@ -6,7 +6,7 @@
 import heapq
 import logging
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 from zincwell.dispatch._caller_timeouts import owner_answer_by_s
 from zincwell.dispatch._cancelled_jobs import CancelledJob, CancelledJobs
@@ -60,6 +60,7 @@
         moved: bool = False,
         delay_s: float = 0.0,
         unsure_s: float = 0.0,
+        refused_by: Collection[str] = (),
     ) -> Job | None:
         """Open a job and return it.
 
@@ -68,6 +69,7 @@
 
         :param delay_s: how long the submission was on its way, in seconds.
         :param unsure_s: how long the request may have waited before its entry read it, in seconds.
+        :param refused_by: names of the cells that have refused it.
         """
         now = self._loop.time()
         requested_at = now - age_s - delay_s
@@ -96,6 +98,7 @@
             moved=moved,
             accepted_at=now,
             times=self._times(age_s + delay_s + unsure_s),
+            refused_by=frozenset(refused_by),
         )
         self.jobs_by_id[request.id] = job
         job.answer_by = -math.inf
--- a/zincwell/dispatch/_jobs.py
+++ b/zincwell/dispatch/_jobs.py
@@ -61,6 +61,7 @@
     :param arrived_at: when the caller's request arrived, on this entry's clock.
     :param times: when its first caller can have sent it and when it was accepted, on the clock that
         includes time during which the VM was suspended.
+    :param refused_by: names of the cells that have refused it.
     :param possibly_started: whether a previous owner may have started tasks of it.
     :param moved: whether that owner's cell was dissolved by a new layout.
     :param accepted_at: when this owner received it, on this entry's clock.
@@ -92,6 +93,7 @@
     possibly_started: bool
     accepted_at: float
     times: JobTimes = JobTimes(sent_since=-math.inf, accepted_at=-math.inf)
+    refused_by: frozenset[str] = frozenset()
     moved: bool = False
     waiting_entries: dict[str, float] = field(default_factory=dict)
     requested_at: float = -math.inf
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -27,7 +27,7 @@
     make_fencing_token,
 )
 from zincwell.dispatch._evacuations import EvacuationTracker
-from zincwell.dispatch._inbox import LATE_DELIVERY_S, Inbox
+from zincwell.dispatch._inbox import LATE_DELIVERY_S, UNKNOWN_DELAY_S, Inbox
 from zincwell.dispatch._jobs import Job
 from zincwell.dispatch._layout_manager import LAYOUT_CHECK_INTERVAL_S, LayoutManager
 from zincwell.dispatch._messages import (
@@ -110,6 +110,8 @@
 # are sent to other cells based on reports of up to this age, so the jobs of a burst stay queued
 # in the home cell for as long.
 HEARTBEATS_PER_REPORT = 2
+# Pause before reports that a job waits for, which name all that come meanwhile.
+ANNOUNCE_PAUSE_S = 0.01
 # An owner whose heartbeat is late by more than this stood still, and logs it.
 STOOD_STILL_S = 0.3
 # After a layout change, runs started under the previous layout may be active on any worker for
@@ -177,6 +179,7 @@
         self._elected_at = 0.0
         self._opened_at = 0.0
         self._heartbeat_count = 0
+        self._is_announcing = False
         self._tasks = BackgroundTasks()
 
     def open(self) -> None:
@@ -562,7 +565,11 @@
             if is_late and isinstance(message, Submit):
                 self._inbox.note_dropped(envelope)
                 continue
-            self._handle(envelope.sender, message, delay_s=envelope.waited_s + delay_s)
+            age_s = envelope.waited_s + delay_s
+            if isinstance(message, Cancel) and not LATE_DELIVERY_S < delay_s < UNKNOWN_DELAY_S:
+                # The bound would make it older than a request that it is meant for.
+                age_s = envelope.waited_s
+            self._handle(envelope.sender, message, delay_s=age_s)
 
     def _handle(self, sender: EntryInfo, message: Message, *, delay_s: float = 0.0) -> None:
         """Dispatch one message to its handler.
@@ -632,16 +639,23 @@
             done=message.done,
             delay_s=delay_s,
             unsure_s=message.unsure_s,
+            refused_by=message.refused_by,
         )
         job = self._owner.jobs.jobs_by_id.get(message.job.id)
         if job is not None:
             self._announcements.note_accepted(job)
-            self._announce_awaited()
+            self._announce_soon()
+
+    def _announce_soon(self) -> None:
+        """Send reports soon if a job waits for its announcement to other cells."""
+        if not self._is_announcing and self._announcements.cells_to_tell():
+            self._is_announcing = True
+            self._loop.call_later(ANNOUNCE_PAUSE_S, self._announce_awaited)
 
     def _announce_awaited(self) -> None:
-        """Send reports now if a job waits for its announcement to other cells."""
+        self._is_announcing = False
         cells = self._announcements.cells_to_tell()
-        if cells:
+        if self._owner is not None and cells:
             self._reporter.tell(self._owner, cells)
 
     def _note_announced(self, peer: EntryInfo, report: CellReport, receipt: Receipt) -> None:
@@ -660,7 +674,7 @@
                 self._hand_over(job_id, receipt.cell)
         if self._announcements.take_held_back():
             self._owner.on_capacity_available()
-        self._announce_awaited()
+        self._announce_soon()
 
     def _hand_over_jobs(self, report: CellReport) -> None:
         """Hand the jobs over that another cell has announced and that have no run here.
@@ -674,7 +688,7 @@
         comes_first = report.cell < home
         for job_id in report.jobs:
             keeps = job_id in unstarted and not comes_first
-            if self._owner.has_no_run(job_id) and not keeps:
+            if self._owner.has_no_run(job_id, not_refused_by=report.cell) and not keeps:
                 self._hand_over(job_id, report.cell)
 
     def _hand_over(self, job_id: str, cell: str) -> None:
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -349,6 +349,7 @@
         moved: bool = False,
         delay_s: float = 0.0,
         unsure_s: float = 0.0,
+        refused_by: Collection[str] = (),
     ) -> None:
         """Accept a job, or add an entry to those that wait for it.
 
@@ -360,6 +361,8 @@
             workers of other cells.
         :param delay_s: how long the submission was on its way, in seconds.
         :param unsure_s: how long the request may have waited before its entry read it, in seconds.
+        :param refused_by: names of the cells that have refused it; a report that they sent before
+            may still name it.
         """
         job = self.jobs.open(
             request,
@@ -369,6 +372,7 @@
             moved=moved,
             delay_s=delay_s,
             unsure_s=unsure_s,
+            refused_by=refused_by,
         )
         known = {TaskId(request.id, step, index) for step, index in done}
         if job is None:
@@ -491,10 +495,15 @@
             ids.update(task.job for task in session.orphaned_runs)
         return sorted(ids)
 
-    def has_no_run(self, job_id: str) -> bool:
-        """Return whether a job is open here, and certainly has no run in this cell."""
+    def has_no_run(self, job_id: str, *, not_refused_by: str = "") -> bool:
+        """Return whether a job is open here, and certainly has no run in this cell.
+
+        :param not_refused_by: name of a cell that must not have refused it before.
+        """
         job = self.jobs.jobs_by_id.get(job_id)
-        return job is not None and not job.may_have_runs()
+        if job is None or job.may_have_runs():
+            return False
+        return not_refused_by not in job.refused_by
 
     def has_job(self, job_id: str) -> bool:
         """Return whether a job is open here, or was answered for good."""
--- a/zincwell/dispatch/_peers.py
+++ b/zincwell/dispatch/_peers.py
@@ -218,13 +218,14 @@
                 await self._exchange(messages, queued_at=self._queued_at)
 
     def _must_read_clock(self) -> bool:
-        """Return whether the peer's clock must be read before the queued jobs are sent.
+        """Return whether the peer's clock must be read before the queued messages are sent.
 
-        Its owner would drop them, since it can't tell how long they were on their way.
+        The peer would drop jobs, and could not order cancellations, since it can't tell how long
+        they were on their way.
         """
         if self.peer_clock.age_s() < MAX_CLOCK_AGE_S or self.has_answered_within(MAX_CLOCK_AGE_S):
             return False
-        return any(isinstance(message, Submit) for message in self._queue)
+        return any(isinstance(message, Submit | Cancel) for message in self._queue)
 
     async def _exchange(self, messages: list[Message], *, queued_at: float) -> None:
         """Deliver messages and let the observer process the acknowledgement.
