--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -33,6 +33,16 @@
     assert_that(min(followed), GreaterThan(0))
 
 
+def test_callers_come_back_after_pauses_and_cuts(tmp_path: Path):
+    # Guards against a task that runs in two cells: an entry stood still with a request in its
+    # socket, and its caller has sent the job again to another cell.
+    kinds = ("cut_zone", "cut_one_way", "pause_entry", "silence", "delay", "kill_entry")
+    plan = DayPlan(seed=402, entries=12, workers=48, faults=16, cores=0.05, kinds=kinds)
+    result = play_day(plan, tmp_path)
+    assert_that(result.broken, Equals([]))
+    assert_that(result.answers_by_status["200"], GreaterThan(10))
+
+
 def test_entries_that_are_told_to_end_cut_no_request_off(tmp_path: Path):
     # Symptom: a page is lost during planned work. Sequence: callers keep using their connections
     # to entries that get SIGTERM, one after the other, until these are gone.
