Hold a request that was read late back where another owner may have its job

A request that may have waited for more than 0.3 s now counts as read late: it compares with cancellations by the earliest time at which it can have been sent, waits for leases like a job that an owner before may have started, and starts nowhere beside a partition of its cell.

--- a/zincwell/dispatch/_job_registry.py
+++ b/zincwell/dispatch/_job_registry.py
@@ -17,6 +17,9 @@
 
 log = logging.getLogger("zincwell.owner")
 
+# A request that may have waited for longer before its entry read it counts as read late: its caller
+# may have sent it elsewhere, or cancelled it.
+READ_LATE_S = 0.3
 # Retry delay that refused callers are given by default.
 RETRY_AFTER_S = 1.0
 
@@ -73,13 +76,15 @@
         """
         now = self._loop.time()
         requested_at = now - age_s - delay_s
+        read_late = unsure_s > READ_LATE_S
         answer = self._answers.get(request.id)
         if answer is not None:
             log.info("answered_again job=%s entry=%s verdict=%s", request.id, entry, answer.verdict)
             self._answer(request.id, {entry}, answer)
             return None
         cancelled = self._cancelled.get(request.id, now=now)
-        if cancelled is not None and cancelled.by_request and requested_at < cancelled.cancelled_at:
+        sent_since = requested_at - unsure_s if read_late else requested_at
+        if cancelled is not None and cancelled.by_request and sent_since < cancelled.cancelled_at:
             # The submission is older than the cancellation, for instance a retry through another
             # entry that was delayed on its way.
             log.info("cancelled_before job=%s entry=%s", request.id, entry)
@@ -99,6 +104,7 @@
             accepted_at=now,
             times=self._times(age_s + delay_s + unsure_s),
             refused_by=frozenset(refused_by),
+            read_late=read_late,
         )
         self.jobs_by_id[request.id] = job
         job.answer_by = -math.inf
--- a/zincwell/dispatch/_jobs.py
+++ b/zincwell/dispatch/_jobs.py
@@ -62,6 +62,8 @@
     :param times: when its first caller can have sent it and when it was accepted, on the clock that
         includes time during which the VM was suspended.
     :param refused_by: names of the cells that have refused it.
+    :param read_late: whether its entry may have read the request long after its caller sent it, so
+        that a previous owner may have it from another entry.
     :param possibly_started: whether a previous owner may have started tasks of it.
     :param moved: whether that owner's cell was dissolved by a new layout.
     :param accepted_at: when this owner received it, on this entry's clock.
@@ -94,6 +96,7 @@
     accepted_at: float
     times: JobTimes = JobTimes(sent_since=-math.inf, accepted_at=-math.inf)
     refused_by: frozenset[str] = frozenset()
+    read_late: bool = False
     moved: bool = False
     waiting_entries: dict[str, float] = field(default_factory=dict)
     requested_at: float = -math.inf
@@ -167,6 +170,10 @@
         """Return the ids of the tasks that are done."""
         return [task.id for step in self.tasks for task in step if task.state is TaskState.DONE]
 
+    def may_run_unseen(self) -> bool:
+        """Return whether a previous owner may have started tasks of it."""
+        return self.possibly_started or self.read_late
+
     def may_have_runs(self) -> bool:
         """Return whether tasks of the job may be running or done."""
         return self.started or self.possibly_started
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -1023,7 +1023,13 @@
             link.send(heartbeat)
 
     def may_start(self, job: Job) -> bool:
-        """Return whether a task of a job may start, as no other cell can run it."""
+        """Return whether a task of a job may start, as no other owner can run it.
+
+        One whose request was read late may be on the other side of a partition of this cell.
+        """
+        stands_in = self._owner.domain is not None
+        if job.read_late and (stands_in or not self.reaches_all_domains()):
+            return False
         return self._announcements.may_start(job)
 
     def reaches_all_domains(self) -> bool:
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -114,7 +114,7 @@
 
     @abc.abstractmethod
     def may_start(self, job: Job) -> bool:
-        """Return whether a task of a job may start, as no other cell can run it."""
+        """Return whether a task of a job may start, as no other owner can run it."""
 
     @abc.abstractmethod
     def on_superseded(self) -> None:
@@ -329,7 +329,7 @@
 
     def _start_delay_s(self, job: Job, now: float) -> float:
         """Return the seconds until no run of an owner before can exist; see `_may_run_already`."""
-        if not job.possibly_started or (not job.moved and self._sees_all_runs(now)):
+        if not job.may_run_unseen() or (not job.moved and self._sees_all_runs(now)):
             return 0.0
         lease_s = self._limits.max_lease_s * (1 + MAX_CLOCK_DRIFT_RATE)
         requested_at = max(job.accepted_at, self._previous_owner_active_until)
@@ -762,7 +762,7 @@
             self._end_unservable_jobs(now)
             self._orphans.stop_due(now)
             awaits_lease_expiry = any(
-                job.possibly_started and job.waiting for job in self.jobs.jobs_by_id.values()
+                job.may_run_unseen() and job.waiting for job in self.jobs.jobs_by_id.values()
             )
             if awaits_lease_expiry or self._scheduler.starts_blocked:
                 self.on_capacity_available()
