Match an owner's answer to the attempt that it answers

Callers saw, in memory: a task runs in two cells at once, or a caller is told "not run" while its job runs.

Cause: an answer was matched by job and term alone. Now a submission carries the number of the callers' attempt at its entry, and each answer repeats it; another attempt's refusal, redirection, cancellation or "unknown" is passed over. Success and failure stay final.

--- a/zincwell/dispatch/_job_registry.py
+++ b/zincwell/dispatch/_job_registry.py
@@ -6,7 +6,7 @@
 import heapq
 import logging
 import math
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 
 from zincwell.dispatch._caller_timeouts import owner_answer_by_s
 from zincwell.dispatch._cancelled_jobs import CancelledJob, CancelledJobs
@@ -28,8 +28,8 @@
     """Opens and ends jobs and reports the outcomes to the waiting entries.
 
     :param on_ended: called with each ended job, to stop its remaining runs.
-    :param answer: called with a job's id, the names of the entries that wait for it, and its
-        outcome.
+    :param answer: called with a job's id, the attempts of the entries that wait for it by entry,
+        and its outcome.
     :param clock: clock of this entry, including time during which the VM was suspended.
     """
 
@@ -37,7 +37,7 @@
         self,
         *,
         on_ended: Callable[[Job], None],
-        answer: Callable[[str, set[str], Outcome], None],
+        answer: Callable[[str, Mapping[str, int], Outcome], None],
         metrics: Metrics,
         clock: Callable[[], float],
     ) -> None:
@@ -64,6 +64,7 @@
         delay_s: float = 0.0,
         unsure_s: float = 0.0,
         refused_by: Collection[str] = (),
+        attempt: int = 0,
     ) -> Job | None:
         """Open a job and return it.
 
@@ -73,6 +74,7 @@
         :param delay_s: how long the submission was on its way, in seconds.
         :param unsure_s: how long the request may have waited before its entry read it, in seconds.
         :param refused_by: names of the cells that have refused it.
+        :param attempt: see `Submit.attempt`.
         """
         now = self._loop.time()
         requested_at = now - age_s - delay_s
@@ -80,7 +82,7 @@
         answer = self._answers.get(request.id)
         if answer is not None:
             log.info("answered_again job=%s entry=%s verdict=%s", request.id, entry, answer.verdict)
-            self._answer(request.id, {entry}, answer)
+            self._answer(request.id, {entry: attempt}, answer)
             return None
         cancelled = self._cancelled.get(request.id, now=now)
         sent_since = requested_at - unsure_s if read_late else requested_at
@@ -88,13 +90,15 @@
             # The submission is older than the cancellation, for instance a retry through another
             # entry that was delayed on its way.
             log.info("cancelled_before job=%s entry=%s", request.id, entry)
-            self._answer(request.id, {entry}, Outcome(verdict=Verdict.CANCELLED))
+            self._answer(request.id, {entry: attempt}, Outcome(verdict=Verdict.CANCELLED))
             return None
         self._cancelled.forget(request.id)
         job = self.jobs_by_id.get(request.id)
         if job is not None:
             log.info("job_attached job=%s entry=%s", request.id, entry)
-            self._note_submission(job, request, entry=entry, requested_at=requested_at)
+            self._note_submission(
+                job, request, entry=entry, attempt=attempt, requested_at=requested_at
+            )
             return None
         job = Job(
             request=request,
@@ -108,7 +112,7 @@
         )
         self.jobs_by_id[request.id] = job
         job.answer_by = -math.inf
-        self._note_submission(job, request, entry=entry, requested_at=requested_at)
+        self._note_submission(job, request, entry=entry, attempt=attempt, requested_at=requested_at)
         return job
 
     def _times(self, age_s: float) -> JobTimes:
@@ -117,10 +121,11 @@
         return JobTimes(sent_since=accepted_at - age_s, accepted_at=accepted_at)
 
     def _note_submission(
-        self, job: Job, request: JobRequest, *, entry: str, requested_at: float
+        self, job: Job, request: JobRequest, *, entry: str, attempt: int, requested_at: float
     ) -> None:
         """Record that an entry has submitted the job, and how long its caller waits."""
         job.waiting_entries[entry] = self._loop.time()
+        job.attempts_by_entry[entry] = attempt
         job.requested_at = max(job.requested_at, requested_at)
         if not request.timeout_ms:
             job.answer_by = math.inf
@@ -160,13 +165,13 @@
             job.slo_s * 1000,
         )
         if job.waiting_entries:
-            self._answer(job.request.id, set(job.waiting_entries), outcome)
+            self._answer(job.request.id, job.waiting_attempts(), outcome)
 
-    def hand_over(self, job: Job) -> set[str]:
-        """Forget a job without runs that another cell has; return the entries that wait for it."""
+    def hand_over(self, job: Job) -> dict[str, int]:
+        """Forget a job without runs that another cell has; return the attempts that wait for it."""
         del self.jobs_by_id[job.request.id]
         self._on_ended(job)
-        return set(job.waiting_entries)
+        return job.waiting_attempts()
 
     def refuse(self, job: Job, reason: str, *, retry_after_s: float = RETRY_AFTER_S) -> None:
         """End a job that this owner has not started, with a retry delay."""
--- a/zincwell/dispatch/_jobs.py
+++ b/zincwell/dispatch/_jobs.py
@@ -69,6 +69,7 @@
     :param accepted_at: when this owner received it, on this entry's clock.
     :param waiting_entries: names of the entries whose callers wait for the outcome, each with the
         time of its last submission, on this entry's clock.
+    :param attempts_by_entry: the attempt of each of them, see `Submit.attempt`.
     :param requested_at: when the newest request of a caller for it arrived at an entry, on this
         entry's clock.
     :param answer_by: when the owner's answer must be sent for the last caller to get it in time, on
@@ -99,6 +100,7 @@
     read_late: bool = False
     moved: bool = False
     waiting_entries: dict[str, float] = field(default_factory=dict)
+    attempts_by_entry: dict[str, int] = field(default_factory=dict)
     requested_at: float = -math.inf
     answer_by: float = math.inf
     tasks: list[list[Task]] = field(default_factory=list)
@@ -170,6 +172,10 @@
         """Return the ids of the tasks that are done."""
         return [task.id for step in self.tasks for task in step if task.state is TaskState.DONE]
 
+    def waiting_attempts(self) -> dict[str, int]:
+        """Return the attempts of the entries that wait for the outcome, by entry."""
+        return {name: self.attempts_by_entry.get(name, 0) for name in self.waiting_entries}
+
     def may_run_unseen(self) -> bool:
         """Return whether a previous owner may have started tasks of it."""
         return self.possibly_started or self.read_late
--- a/zincwell/dispatch/_messages.py
+++ b/zincwell/dispatch/_messages.py
@@ -15,6 +15,8 @@
     :param unsure_s: how long the request may have waited before that, since its entry stood still,
         in seconds.
     :param exposed: whether an earlier submission may have started tasks of it.
+    :param attempt: number of the callers' attempt at this entry, which answers repeat; 0 from an
+        earlier build.
     :param done: tasks known to be done, as pairs of step and index.
     :param cell: name of the cell whose owner is to run it; None from a build before cells were
         named here.
@@ -27,6 +29,7 @@
     age_s: float = 0.0
     unsure_s: float = 0.0
     exposed: bool = False
+    attempt: int = 0
     done: list[tuple[int, int]] = []
     cell: str | None = None
     moved: bool = False
@@ -63,6 +66,7 @@
     """Owner to entry: the outcome of a job.
 
     :param fence: fencing token of the owner that reports it.
+    :param attempt: the attempt that it answers, see `Submit.attempt`.
     :param shared: whether other entries wait for the job as well and get the same outcome.
     :param running_in: name of another cell that has the job; this owner has not accepted it.
         Entries of earlier builds take the outcome for final.
@@ -71,6 +75,7 @@
     job: str
     outcome: Outcome
     fence: int
+    attempt: int = 0
     shared: bool = False
     running_in: str = ""
 
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import msgspec
 
@@ -628,7 +628,7 @@
             return
         other_cell = self._find_other_cell(message)
         if other_cell is not None:
-            self._redirect(sender.name, message.job.id, other_cell)
+            self._redirect(sender.name, message.job.id, other_cell, attempt=message.attempt)
             return
         self._owner.submit(
             message.job,
@@ -640,6 +640,7 @@
             delay_s=delay_s,
             unsure_s=message.unsure_s,
             refused_by=message.refused_by,
+            attempt=message.attempt,
         )
         job = self._owner.jobs.jobs_by_id.get(message.job.id)
         if job is not None:
@@ -692,9 +693,9 @@
                 self._hand_over(job_id, report.cell)
 
     def _hand_over(self, job_id: str, cell: str) -> None:
-        entries = self._owner.jobs.hand_over(self._owner.jobs.jobs_by_id[job_id])
-        for entry in sorted(entries):
-            self._redirect(entry, job_id, cell)
+        attempts = self._owner.jobs.hand_over(self._owner.jobs.jobs_by_id[job_id])
+        for entry, attempt in sorted(attempts.items()):
+            self._redirect(entry, job_id, cell, attempt=attempt)
 
     def _find_jobs_here(self, envelope: Envelope) -> list[str]:
         """Return the jobs announced in an envelope that are open here as well."""
@@ -731,13 +732,19 @@
             return None
         return self._cell_directory.cell_with_job(message.job.id, refused_by=message.refused_by)
 
-    def _redirect(self, entry: str, job_id: str, cell: str) -> None:
+    def _redirect(self, entry: str, job_id: str, cell: str, *, attempt: int) -> None:
         """Tell an entry that its caller's job is in another cell, by another submission."""
         log.info("job_elsewhere job=%s entry=%s cell=%s", job_id, entry, cell)
         outcome = Outcome(
             verdict=Verdict.UNKNOWN, reason="runs in another cell", retry_after_s=RETRY_AFTER_S
         )
-        message = JobEnded(job=job_id, outcome=outcome, fence=self._owner.fence, running_in=cell)
+        message = JobEnded(
+            job=job_id,
+            outcome=outcome,
+            fence=self._owner.fence,
+            attempt=attempt,
+            running_in=cell,
+        )
         self._send_to_entries({entry}, message)
 
     def _end_unannounced_jobs(self) -> None:
@@ -907,12 +914,14 @@
     def _update_worker_list_reading(self) -> None:
         self._worker_list.update_reading(is_owner=self._owner is not None)
 
-    def on_job_ended(self, job: str, entries: set[str], outcome: Outcome) -> None:
+    def on_job_ended(self, job: str, attempts: Mapping[str, int], outcome: Outcome) -> None:
         """Send the outcome of a job to the entries whose callers wait for it."""
-        fence, shared = self.election.fence, len(entries) > 1
-        self._send_to_entries(
-            entries, JobEnded(job=job, outcome=outcome, fence=fence, shared=shared)
-        )
+        fence, shared = self.election.fence, len(attempts) > 1
+        for entry, attempt in sorted(attempts.items()):
+            message = JobEnded(
+                job=job, outcome=outcome, fence=fence, attempt=attempt, shared=shared
+            )
+            self._send_to_entries({entry}, message)
 
     def on_tasks_done(self, job: str, entries: set[str], tasks: list[tuple[int, int]]) -> None:
         """Report finished tasks to the entries, so that a later owner does not run them again."""
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -6,7 +6,7 @@
 import asyncio
 import logging
 import math
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 from time import perf_counter
 
@@ -89,8 +89,11 @@
     """Callbacks and queries of an owner to the entry that hosts it."""
 
     @abc.abstractmethod
-    def on_job_ended(self, job: str, entries: set[str], outcome: Outcome) -> None:
-        """Deliver a job's outcome to the entries whose callers wait for it."""
+    def on_job_ended(self, job: str, attempts: Mapping[str, int], outcome: Outcome) -> None:
+        """Deliver a job's outcome to the entries whose callers wait for it.
+
+        :param attempts: the callers' attempt at each entry, by entry.
+        """
 
     @abc.abstractmethod
     def on_tasks_done(self, job: str, entries: set[str], tasks: list[tuple[int, int]]) -> None:
@@ -350,6 +353,7 @@
         delay_s: float = 0.0,
         unsure_s: float = 0.0,
         refused_by: Collection[str] = (),
+        attempt: int = 0,
     ) -> None:
         """Accept a job, or add an entry to those that wait for it.
 
@@ -363,6 +367,7 @@
         :param unsure_s: how long the request may have waited before its entry read it, in seconds.
         :param refused_by: names of the cells that have refused it; a report that they sent before
             may still name it.
+        :param attempt: see `Submit.attempt`.
         """
         job = self.jobs.open(
             request,
@@ -373,6 +378,7 @@
             delay_s=delay_s,
             unsure_s=unsure_s,
             refused_by=refused_by,
+            attempt=attempt,
         )
         known = {TaskId(request.id, step, index) for step, index in done}
         if job is None:
--- a/zincwell/dispatch/_pending_jobs.py
+++ b/zincwell/dispatch/_pending_jobs.py
@@ -4,6 +4,7 @@
 
 import abc
 import asyncio
+import itertools
 import logging
 from collections.abc import Callable, Collection
 from dataclasses import dataclass, field
@@ -103,6 +104,7 @@
 
     :param arrived_at: event loop time of the first caller's request.
     :param sent_since: earliest time at which it can have been sent, by the entry's clock.
+    :param attempt: number of the callers' attempt, unique among those of this process.
     :param cell: cell whose owner has the job, or will get it.
     :param refused_by: cells whose owners have refused it.
     :param waiters: one future for each waiting caller, in order of their calls.
@@ -118,6 +120,7 @@
     request: JobRequest
     arrived_at: float
     sent_since: float
+    attempt: int
     cell: str
     refused_by: set[str] = field(default_factory=set)
     waiters: dict[asyncio.Future[Outcome], None] = field(default_factory=dict)
@@ -147,6 +150,7 @@
         self._channel = channel
         self._metrics = metrics
         self._pending_by_id: dict[str, PendingJob] = {}
+        self._attempts = itertools.count(1)
         self._cancelled = CancelledJobs()
         self._former_owners = FormerOwners()
         self._loop = asyncio.get_running_loop()
@@ -188,7 +192,11 @@
             self._cancelled.forget(request.id)
             cell = self._channel.choose_cell(request, refused_by=()) or self._channel.home_cell()
             pending = PendingJob(
-                request=request, arrived_at=arrived_at, sent_since=sent_since, cell=cell
+                request=request,
+                arrived_at=arrived_at,
+                sent_since=sent_since,
+                attempt=next(self._attempts),
+                cell=cell,
             )
             pending.moved = pending.possibly_started = self._former_owners.may_run(request.id)
             self._pending_by_id[request.id] = pending
@@ -249,13 +257,15 @@
         """Process an owner's answer.
 
         Success and failure are final, whichever owner reports them. Any other verdict counts only
-        if it comes from the owner that has the job: otherwise the job may run under a later owner.
+        if it comes from the owner that has the job, and answers the present attempt: otherwise the
+        job may run under a later owner, or since a caller has sent it again.
         """
         pending = self._pending_by_id.get(message.job)
         if pending is None:
             return
         verdict = message.outcome.verdict
-        if message.fence != pending.submitted_fence:
+        is_earlier = message.attempt not in (0, pending.attempt)
+        if is_earlier or message.fence != pending.submitted_fence:
             if verdict in (Verdict.SUCCEEDED, Verdict.FAILED):
                 self.resolve(message.job, message.outcome)
             return
@@ -487,6 +497,7 @@
                 age_s=age_s,
                 unsure_s=max(self._clock() - pending.sent_since - age_s, 0.0),
                 exposed=pending.possibly_started,
+                attempt=pending.attempt,
                 done=sorted(pending.done),
                 cell=pending.cell,
                 moved=pending.moved,
