Mend what the reviews of the held-up jobs found

* A new process at an owner's address acknowledged an announcement, and the job started in both cells.
Only the process that was addressed counts.
* A moved job started beside a run that each receipt of its owner named.
* Two owners whose jobs may both have runs waited for each other without end; a job without a run ends after 3 s of that.

--- a/zincwell/dispatch/_announcements.py
+++ b/zincwell/dispatch/_announcements.py
@@ -23,6 +23,10 @@
 
 log = logging.getLogger("zincwell.cells")
 
+# A job without a run that another cell has as well ends after this time, in seconds: the other one
+# has handed it over by then, or runs it.
+CONFLICT_TIMEOUT_S = 3.0
+
 
 @dataclass(slots=True, kw_only=True)
 class _CellView:
@@ -44,9 +48,21 @@
 
     def may_start(self, job: Job, now: float) -> bool:
         """Return whether a task of a job may start, with regard to this cell."""
-        if job.times.must_be_announced_first() and job.request.id in self.jobs_there:
+        held_back = job.moved or job.times.must_be_announced_first()
+        if held_back and job.request.id in self.jobs_there:
             return False
-        return may_start_job(job.times, self.contact, now=now)
+        return may_start_job(job.times, self._contact_for(job), now=now)
+
+    def must_end(self, job: Job, now: float) -> bool:
+        """Return whether a job must end, with regard to this cell."""
+        if not job.started and job.request.id in self.jobs_there:
+            # Both owners may wait for each other.
+            return now - job.times.accepted_at > CONFLICT_TIMEOUT_S
+        return must_end_job(job.times, self._contact_for(job), now=now)
+
+    def _contact_for(self, job: Job) -> CellContact:
+        """Return the contact as it counts for a job: a job that runs here goes on in a cut."""
+        return replace(self.contact, opened_at=-math.inf) if job.started else self.contact
 
 
 class Announcements:
@@ -129,12 +145,8 @@
         now = self._clock()
         old_jobs = [job for job in jobs if now - job.times.sent_since > ANNOUNCE_BY_S]
         self._log_unannounced(old_jobs)
-        contacts = [view.contact for view in self._views_by_cell.values()]
-        return [
-            job
-            for job in old_jobs
-            if any(must_end_job(job.times, contact, now=now) for contact in contacts)
-        ]
+        views = self._views_by_cell.values()
+        return [job for job in old_jobs if any(view.must_end(job, now) for view in views)]
 
     def _log_unannounced(self, old_jobs: list[Job]) -> None:
         """Log the jobs that go on although the owner of another cell was not told of them."""
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -663,9 +663,10 @@
         """Let jobs start that waited for a report to be acknowledged.
 
         Those that the other cell has itself go there, unless they may have runs here. A receiver
-        that knows of a later owner of its cell speaks for nobody.
+        that knows of a later owner of its cell, or a new process at its address, speaks for nobody.
         """
-        if receipt.fence > self._cell_directory.fence_of(receipt.cell):
+        is_replaced = receipt.receiver.incarnation != peer.incarnation
+        if is_replaced or receipt.fence > self._cell_directory.fence_of(receipt.cell):
             return
         self._announcements.note_delivered(peer.incarnation, report, jobs_there=receipt.jobs_here)
         if self._owner is None or report.jobs is None:
