Count a request as lost in the soak only if its own sending was passed on

Its caller sends it again 1.3 s later, to entry-1, which ends at 570.766 (event=stopped) and logs nothing of the job; the third sending is taken 1.3 s after that, at 572.072. So the request crossed with the planned end of entry-1, within the 0.2 s that LOST allows, and entry-1 had passed it on to nobody. The check took the start by the first sending, 2.8 s before, for one by the second.

LOST counts a channel that ends without an answer "once it has been passed on to a worker, or later than lossSlackMs after its last byte was sent". The check now asks for a start since the sending in question; a start by any other entry since then still counts, so it stays at least as strict as the rule.

--- a/bench/soak/_callers.py
+++ b/bench/soak/_callers.py
@@ -124,7 +124,7 @@
         except (aiohttp.ClientError, OSError):
             after_s = time.monotonic() - sent_at
             sound = entry.life == life and not entry.killed
-            if sound and (after_s > CROSSING_S or self._checks.has_started(job)):
+            if sound and (after_s > CROSSING_S or self._checks.has_started(job, since=sent_at)):
                 self._checks.note_broken_off(job, entry.name, after_s)
             return 0
         self._checks.note_answer(job, response.status, answer.get("state", ""))
--- a/bench/soak/_checks.py
+++ b/bench/soak/_checks.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections import defaultdict
 from dataclasses import dataclass, field
@@ -48,7 +49,7 @@
         self.answers_by_status: dict[str, int] = defaultdict(int)
         self.disturbed_at = time.monotonic()
         self.harmed_at = time.monotonic()
-        self._started: set[str] = set()
+        self._started_at_by_job: dict[str, float] = {}
         self._running_by_task: dict[str, list[tuple[str, int]]] = defaultdict(list)
 
     def fail(self, rule: str, text: str) -> None:
@@ -89,7 +90,7 @@
         if running:
             self.fail("TWICE", f"{task} run {number} on {worker.id} beside {running}")
         running.append((worker.id, number))
-        self._started.add(job_id)
+        self._started_at_by_job[job_id] = time.monotonic()
         since = worker.draining_since
         if since and time.monotonic() - since > DRAIN_S and self.is_unharmed():
             self.fail("DRAIN", f"{task} run {number} on {worker.id}, leaving since {since:.1f}")
@@ -108,9 +109,9 @@
         if job is not None and how == "done":
             job.done.add(int(task.rsplit(".", 1)[1]))
 
-    def has_started(self, job: SoakJob) -> bool:
-        """Return whether a worker has begun a task of a job."""
-        return job.id in self._started
+    def has_started(self, job: SoakJob, *, since: float = -math.inf) -> bool:
+        """Return whether a worker has begun a task of a job since a time."""
+        return self._started_at_by_job.get(job.id, -math.inf) > since
 
     def note_answer(self, job: SoakJob, status: int, state: str) -> None:
         """Check an answer to a caller."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -148,6 +148,19 @@
     assert_that(rules(checks), Equals(["LIMIT"]))
 
 
+def test_the_checks_tell_a_start_by_an_earlier_sending_from_a_later_one(checks: Checks):
+    # Guards against a request that counts as lost, and that the entry has passed on to nobody: the
+    # job had started by its caller's earlier sending, at another entry.
+    job = checks.jobs_by_id["a"]
+    checks.note_start(FakeWorker(), "a.0.0.0", 1, "spec of a")
+    sent_at = time.monotonic()
+    assert_that(
+        [checks.has_started(job), checks.has_started(job, since=sent_at)], Equals([True, False])
+    )
+    checks.note_start(FakeWorker(), "a.0.0.1", 1, "spec of a")
+    assert_that(checks.has_started(job, since=sent_at), Equals(True))
+
+
 def test_the_checks_see_an_answer_before_the_end(checks: Checks):
     checks.note_start(FakeWorker(), "a.0.0.0", 1, "spec of a")
     checks.note_end(FakeWorker(), "a.0.0.0", 1, "done")
