Report all workers in use to the next owner, listed or not

Some workers lose the path to the store alone; their list entries lapse, and they run on under the owner. A successor that has started since then never saw them. It took "all listed workers have reported" for "all runs are known", and started the tasks elsewhere 0.1 s after its election.

An owner now reports all workers that it uses to its first successors, at once and every 2 s; entries that have the report pass it on to an owner that lacks it, and an owner that is followed sends its last one unasked. The report leaves no worker out for three report intervals: one that it does not name was listed after it, and an entry lasts that long. A new owner that has no such report waits for the leases of the term before, and counts jobs as possibly started while entries were lost shortly before. A worker that has left the list and never answered for 5 s does not keep the runs of others in doubt any more.

--- a/bench/soak/_faults.py
+++ b/bench/soak/_faults.py
@@ -23,6 +23,8 @@
 # drawn evenly. Take-overs take 0.5 s to 2 s, leases last 1 s, workers lapse in no list here.
 GAP_S = (0.0, 1.5)
 LENGTH_S = (0.3, 5.0)
+# The store drops the entry of a worker that has not reported for three intervals of 1.5 s.
+ENTRY_EXPIRY_S = 4.5
 PAUSE_S = (0.2, 4.0)
 # What operators and workers do by plan excuses nothing.
 PLANNED = {"evacuate", "drain_worker", "resize_worker"}
@@ -271,6 +273,22 @@
             worker.crash()
             self._list(worker)
 
+    async def cut_workers_from_store(self) -> None:
+        """Let a third of the workers lose the path to the store alone, and their list entries.
+
+        They report again within one interval of the end of the cut. Drawn only when it is asked
+        for by name, like evacuations.
+        """
+        cut = self._random.sample(self._workers, len(self._workers) // 3)
+        lives_by_name = {worker.name: worker.lives for worker in cut}
+        await asyncio.sleep(ENTRY_EXPIRY_S)
+        for worker in cut:
+            self._store.put(SERVERS, worker.id, b"")
+        await self._last()
+        for worker in cut:
+            if worker.lives == lives_by_name[worker.name]:
+                self._list(worker)
+
     async def resize_worker(self) -> None:
         """Let a worker's capacity shrink, and grow again after a while.
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -63,6 +63,15 @@
     assert_that(result.broken, Equals([]))
 
 
+@pytest.mark.parametrize("seed", [13])
+def test_workers_that_lose_only_the_store_run_no_task_twice(tmp_path: Path, seed: int):
+    # Guards against a second run of tasks on workers that a new owner never saw listed.
+    kinds = ("cut_workers_from_store",) * 2 + ("kill_entry", "drain_entry", "drain_entry")
+    result = play_day(DayPlan(seed=seed, faults=16, kinds=kinds), tmp_path)
+    assert_that(result.broken, Equals([]))
+    assert_that(result.answers_by_status["200"], GreaterThan(10))
+
+
 def test_workers_that_leave_or_shrink_while_owners_are_lost_get_nothing_more(tmp_path: Path):
     kinds = ("drain_worker", "resize_worker", "kill_entry", "kill_entry", "drain_entry")
     result = play_day(DayPlan(seed=9, faults=14, kinds=kinds), tmp_path)
--- a/zincwell/dispatch/_directory.py
+++ b/zincwell/dispatch/_directory.py
@@ -172,6 +172,21 @@
                 del self.links_by_name[name]
                 link.close()
 
+    def has_lost_entries(self, *, alive: Collection[str], within_s: float) -> bool:
+        """Return whether an entry of the cell has ended, whose callers may turn to another one.
+
+        :param alive: names of the entries that are alive.
+        :param within_s: how long ago an entry may have ended that has started again since.
+        """
+        names = {entry.name for entry in self.cell_members()} - {self._me.name}
+        now = self._loop.time()
+        replaced = any(
+            now - replacement.seen_at < within_s
+            for name, replacement in self.replacements_by_name.items()
+            if name in names
+        )
+        return replaced or not names <= set(alive)
+
     def reachable_entries(self) -> list[EntryInfo]:
         """Return the entries of the home cell that count as reachable, including this one."""
         return [entry for entry in self.cell_members() if not self._is_unreachable(entry)]
--- a/zincwell/dispatch/_election.py
+++ b/zincwell/dispatch/_election.py
@@ -175,6 +175,11 @@
     ) -> None:
         self.owner: EntryInfo | None = None
         self.fence = 0
+        # What was known at the election of this entry: the owner before, its fencing token, and the
+        # time since any entry has heard it.
+        self.previous_owner: EntryInfo | None = None
+        self.previous_fence = 0
+        self.previous_silence_s = math.inf
         self.cell = cell
         self._key = cell.claim_key()
         self._closed = False
@@ -351,11 +356,19 @@
 
     def _take_ownership(self, fence: int, domain: str) -> None:
         log.info("owner_elected fence=%d domain=%s", fence, domain)
+        self.previous_owner, self.previous_fence = self.owner, self.fence
+        self.previous_silence_s = self._owner_silence_of_all_s()
         self.owner, self.fence, self.domain = self.me, fence, domain
         self.owner_leaving = False
         self.reclaim = False
         self._observer.on_elected(fence, domain)
 
+    def _owner_silence_of_all_s(self) -> float:
+        """Return the time since this entry or one that answers has heard the owner, in seconds."""
+        receipts = self._observer.fresh_receipts(MAX_RECEIPT_AGE_S)
+        silences_s = [r.owner_silence_s for r in receipts if r.fence >= self.fence]
+        return min([self.owner_contact_age_s(), *silences_s])
+
     # -- decisions --------------------------------------------------------------------------
 
     async def _run(self) -> None:
--- a/zincwell/dispatch/_messages.py
+++ b/zincwell/dispatch/_messages.py
@@ -117,6 +117,8 @@
         domains.
     :param cell: name of the cell.
     :param reports: reports of this cell and others; only some heartbeats have them.
+    :param missing_fence: fencing token of the previous owner if the list of its workers is missing
+        here, else 0. Entries that have it send it.
     """
 
     fence: int
@@ -128,6 +130,7 @@
     complete_s: float = 0.0
     cell: str = ""
     reports: list[CellReport] = []
+    missing_fence: int = 0
 
 
 class WorkerListSnapshot(Struct, frozen=True, kw_only=True, tag="workers", omit_defaults=True):
@@ -137,12 +140,20 @@
     :param place: log offset up to which the list is known. Of two lists the one with the higher
         offset is newer, in whichever order they arrive.
     :param age_s: time since the list was read, in seconds.
+    :param fence: fencing token of the owner that reports all its workers to a successor by this
+        list and the next two fields; 0 in a list for another cell, and from an earlier build.
+    :param unlisted: workers that have left the list, on which that owner may have runs.
+    :param complete: whether the owner knows all workers that the owners before it have used, or
+        their leases have expired.
     """
 
     cell: str
     place: int
     workers: list[WorkerInfo]
     age_s: float = 0.0
+    fence: int = 0
+    unlisted: list[WorkerInfo] = []
+    complete: bool = False
 
 
 class LayoutNotice(Struct, frozen=True, kw_only=True, tag="layout"):
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -45,10 +45,11 @@
     WorkerListSnapshot,
 )
 from zincwell.dispatch._metrics import Metrics
-from zincwell.dispatch._owner import Owner, OwnerListener
+from zincwell.dispatch._owner import LEASE_EXPIRY_MARGIN_S, Owner, OwnerListener
 from zincwell.dispatch._owner_lag import OwnerLagDetector
 from zincwell.dispatch._peers import LinkObserver, PeerLink
 from zincwell.dispatch._pending_jobs import RETRY_AFTER_S, PendingJobTracker
+from zincwell.dispatch._previous_workers import PreviousWorkers
 from zincwell.dispatch._reachability import ReachabilityMonitor
 from zincwell.dispatch._router import OwnerRouter
 from zincwell.dispatch._topic_follower import TopicFollower
@@ -61,8 +62,14 @@
     Outcome,
     Verdict,
 )
+from zincwell.dispatch._worker_calls import max_lease_s
 from zincwell.dispatch._worker_list import WorkerList
 from zincwell.dispatch._worker_list_sender import WorkerListSender
+from zincwell.dispatch.decisions import (
+    REPORTS_MISSED_AT_EXPIRY,
+    SILENT_OWNER_HAS_ENDED_JOBS_S,
+    may_have_left_runs,
+)
 from zincwell.dispatch.ports import (
     PeerClient,
     Store,
@@ -209,6 +216,11 @@
             directory=self._directory,
             worker_list=self._worker_list,
         )
+        self._previous_workers = PreviousWorkers(
+            entry_expiry_s=REPORTS_MISSED_AT_EXPIRY * self._limits.report_interval_s,
+            lease_s=max_lease_s(self._limits) + LEASE_EXPIRY_MARGIN_S,
+            clock=self._clock,
+        )
         self._start_reachability_monitoring()
         self._entries_feed = TopicFollower(
             store=self._store,
@@ -592,12 +604,15 @@
                 self._hand_over_jobs(message)
         elif isinstance(message, WorkerListSnapshot):
             self._worker_list.note_snapshot(message, entry=sender.name, delay_s=delay_s)
+            self._note_worker_report(message, delay_s=delay_s)
         elif isinstance(message, LayoutNotice):
             self._follow_layout(message.offset, message.layout)
         elif isinstance(message, OwnerHeartbeat):
             self._handle_heartbeat(message, delay_s)
 
     def _handle_heartbeat(self, heartbeat: OwnerHeartbeat, delay_s: float) -> None:
+        if heartbeat.missing_fence and heartbeat.cell == self._cell_directory.home.name:
+            self._forward_worker_report(heartbeat)
         self.election.note_heartbeat(heartbeat)
         if heartbeat.cell != self._cell_directory.home.name:
             return
@@ -848,8 +863,13 @@
     def on_owner(self, owner: EntryInfo, fence: int, domain: str) -> None:
         """Follow another entry as owner and stop owning the cell."""
         self._owner_lag.end_term(self._loop.time())
+        was_owner = self._owner is not None and self._owner.domain is None
         self._close_owner()
         self._directory.note(owner, named=True)
+        report = self._previous_workers.current_report()
+        if was_owner and report is not None:
+            # Before the jobs. The next owner may have started too late for an earlier report.
+            self._directory.link(owner).send(report)
         self.pending_jobs.note_unsent(
             self._directory.withdraw_jobs(owners=self._router.owner_names())
         )
@@ -864,6 +884,9 @@
         self._metrics.count("elections", f'domain="{domain}"')
         self._owner_lag.begin_term(self._loop.time())
         self._domains.note_elected(was_owner=self._owner is not None)
+        previous_workers = self._previous_workers.workers()
+        if not domain and (self._owner is None or self._owner.domain is not None):
+            self._previous_workers.begin_term(previous_fence=self.election.previous_fence)
         if self._owner is not None and not domain:
             self._owner.promote(fence)
         else:
@@ -883,6 +906,7 @@
                 previous_owner_active_until=(
                     self.election.previous_owner_active_until() if domain else -math.inf
                 ),
+                previous_owner_left_runs=self._may_have_left_runs(),
                 clock=self._clock,
             )
             self._owner.evacuate(self.evacuations.domains)
@@ -897,17 +921,35 @@
         self._worker_list.request_read()
         self._owner.set_workers(self._worker_list.listed_by_id)
         self._owner.probe_unlisted_workers(self._worker_list.recently_lapsed())
+        self._owner.probe_unlisted_workers(previous_workers)
         self.pending_jobs.note_unsent(
             self._directory.withdraw_jobs(owners=self._router.owner_names())
         )
         self._send_heartbeats(with_reports=True)
         self.pending_jobs.submit_pending(self._cell_directory.home.name)
 
+    def _may_have_left_runs(self) -> bool:
+        """Return whether the previous owner may have left runs of jobs that no entry here has.
+
+        Their callers were connected to entries that have ended, and may send them again.
+        """
+        if not may_have_left_runs(silence_s=self.election.previous_silence_s):
+            return False
+        if self._loop.time() - self._opened_at < SILENT_OWNER_HAS_ENDED_JOBS_S:
+            # The process before this one may have had callers.
+            return True
+        previous = self.election.previous_owner
+        alive = [*self.election.successors, previous.name if previous is not None else ""]
+        return self._directory.has_lost_entries(alive=alive, within_s=SILENT_OWNER_HAS_ENDED_JOBS_S)
+
     def _close_owner(self) -> None:
         if self._owner is not None:
             log.info(
                 "owner_closed fence=%d jobs=%d", self._owner.fence, len(self._owner.jobs.jobs_by_id)
             )
+            report = self._make_worker_report() if self._owner.domain is None else None
+            if report is not None:
+                self._previous_workers.note_report(report, delay_s=0.0)
             self._owner.close()
             self._owner = None
             self._update_worker_list_reading()
@@ -987,13 +1029,51 @@
                 self._end_unannounced_jobs()
                 self._send_heartbeats()
                 if self._owner.domain is None:
-                    self._worker_list_sender.send_due(self._heartbeat_count)
+                    self._worker_list_sender.send_due(
+                        self._heartbeat_count,
+                        fence=self._owner.fence,
+                        make_report=self._make_worker_report,
+                    )
             elif self.election.owner is not None:
                 if self.election.silence_s() > PROBE_OTHERS_AFTER_S:
                     self._router.probe_other_owners()
                 if self.election.silence_s() > SUSPECT_AFTER_S:
                     self._reroute_unsent_jobs(self.election.owner)
 
+    def _make_worker_report(self) -> WorkerListSnapshot | None:
+        """Return the list of all workers that this owner uses, for the owner that follows it."""
+        snapshot = self._worker_list.make_snapshot(self._cell_directory.home)
+        if snapshot is None:
+            return None
+        return msgspec.structs.replace(
+            snapshot,
+            fence=self._owner.fence,
+            unlisted=self._owner.unlisted_workers(),
+            complete=self.knows_all_workers(),
+        )
+
+    def _note_worker_report(self, report: WorkerListSnapshot, *, delay_s: float) -> None:
+        """Keep the report of an owner; if it is this one's predecessor, hold its workers."""
+        if report.cell != self._cell_directory.home.name:
+            return
+        is_awaited = self._previous_workers.missing_fence() == report.fence
+        self._previous_workers.note_report(report, delay_s=delay_s)
+        if self._owner is not None and report.fence and is_awaited:
+            self._owner.probe_unlisted_workers([*report.workers, *report.unlisted])
+            self._owner.on_capacity_available()
+
+    def _forward_worker_report(self, heartbeat: OwnerHeartbeat) -> None:
+        """Send a new owner the report of its predecessor, if it lacks that and this entry has it.
+
+        Before the jobs, which this owner could not judge without it.
+        """
+        report = self._previous_workers.take_report_for(
+            heartbeat.fence, previous_fence=heartbeat.missing_fence
+        )
+        if report is not None:
+            self._directory.note(heartbeat.owner, named=True)
+            self._directory.link(heartbeat.owner).send(report)
+
     def _reroute_unsent_jobs(self, owner: EntryInfo) -> None:
         """Reroute to other cells the jobs that were not yet sent to a silent owner.
 
@@ -1027,6 +1107,7 @@
             pending=self._owner.jobs.pending_by_route(),
             cell=self._cell_directory.home.name,
             reports=reports,
+            missing_fence=0 if self._owner.domain else self._previous_workers.missing_fence(),
         )
         self._home_pending_by_route = heartbeat.pending
         for link in self._directory.idle_links():
@@ -1046,6 +1127,10 @@
         """Return whether all failure domains of the cell have been reachable for a while."""
         return self._reachability.reaches_all_domains(elected_at=self._elected_at)
 
+    def knows_all_workers(self) -> bool:
+        """Return whether no worker is unknown on which the previous owner may have runs."""
+        return self._previous_workers.are_all_known(list_read_at=self._worker_list.read_at())
+
     async def _write_liveness_forever(self) -> None:
         """Write the owner's liveness to the store, for entries that its heartbeats don't reach."""
         while True:
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -103,6 +103,10 @@
     def reaches_all_domains(self) -> bool:
         """Return whether every failure domain has been reachable through an entry for a while."""
 
+    @abc.abstractmethod
+    def knows_all_workers(self) -> bool:
+        """Return whether no worker is unknown on which the previous owner may have runs."""
+
     @abc.abstractmethod
     def has_evacuation_state(self) -> bool:
         """Return whether the set of evacuated failure domains is known."""
@@ -139,6 +143,8 @@
         that of the event loop.
     :param previous_owner_active_until: event loop time until which an owner that is cut off from a
         stand-in may request leases.
+    :param previous_owner_left_runs: whether runs of the previous owner may be active at the begin
+        of the term.
     """
 
     def __init__(
@@ -155,9 +161,11 @@
         covers: Callable[[WorkerInfo], bool] = lambda info: True,
         renew_only_adopted: bool = False,
         previous_owner_active_until: float = -math.inf,
+        previous_owner_left_runs: bool = False,
         clock: Callable[[], float] | None = None,
     ) -> None:
         self._previous_owner_active_until = previous_owner_active_until
+        self._previous_owner_left_runs = previous_owner_left_runs
         self._metrics = metrics
         self._cores = cores
         self._cell = cell
@@ -257,6 +265,10 @@
         self._workers.probe_unlisted(infos)
         self._note_workers()
 
+    def unlisted_workers(self) -> list[WorkerInfo]:
+        """Return the workers that have left the list, but may be running tasks."""
+        return self._workers.unlisted()
+
     def _note_workers(self) -> None:
         """Learn the workers' kinds, and forget the speeds of those whose sessions were closed."""
         sessions_by_id = self._workers.sessions_by_id
@@ -308,11 +320,16 @@
         """Return whether every run in the cell has been reported by its worker.
 
         The list entries of workers in a partitioned failure domain expire, so while a domain is
-        unreachable there may be workers that are not listed. The result is cached for one time of
-        the event loop, since hundreds of jobs ask for it right after a take-over.
+        unreachable there may be workers that are not listed. Those of workers that reach the
+        entries but not the store expire as well. The result is cached for one time of the event
+        loop, since hundreds of jobs ask for it right after a take-over.
         """
         if self._run_visibility.at != now:
-            complete = self.domain is None and self._listener.reaches_all_domains()
+            complete = (
+                self.domain is None
+                and self._listener.reaches_all_domains()
+                and self._listener.knows_all_workers()
+            )
             self._run_visibility = RunVisibility(
                 at=now, complete=complete and self._workers.all_held()
             )
@@ -330,6 +347,17 @@
         """
         return self._start_delay_s(job, now) > 0 or not self._listener.may_start(job)
 
+    def _may_miss_runs(self) -> bool:
+        """Return whether runs of the previous owner may be active on workers unknown here.
+
+        Then a job may have such runs although its entry has never submitted it before: its caller
+        may have sent it through another entry, which is gone. A stand-in takes over only workers of
+        its own domain, from an owner that has ended the jobs of that domain.
+        """
+        if self.domain is not None or not self._previous_owner_left_runs:
+            return False
+        return not self._listener.knows_all_workers()
+
     def _start_delay_s(self, job: Job, now: float) -> float:
         """Return the seconds until no run of an owner before can exist; see `_may_run_already`."""
         if not job.may_run_unseen() or (not job.moved and self._sees_all_runs(now)):
@@ -373,7 +401,7 @@
             request,
             entry=entry,
             age_s=age_s,
-            possibly_started=possibly_started,
+            possibly_started=possibly_started or self._may_miss_runs(),
             moved=moved,
             delay_s=delay_s,
             unsure_s=unsure_s,
--- a/zincwell/dispatch/_peers.py
+++ b/zincwell/dispatch/_peers.py
@@ -11,7 +11,15 @@
 
 from zincwell.dispatch._background import BackgroundTasks
 from zincwell.dispatch._clocks import PeerClock, floor_ms
-from zincwell.dispatch._messages import Cancel, Envelope, Message, Ping, Receipt, Submit
+from zincwell.dispatch._messages import (
+    Cancel,
+    Envelope,
+    Message,
+    Ping,
+    Receipt,
+    Submit,
+    WorkerListSnapshot,
+)
 from zincwell.dispatch._types import EntryInfo, Evacuations
 from zincwell.dispatch.ports import PeerCallError, PeerClient
 
@@ -220,12 +228,12 @@
     def _must_read_clock(self) -> bool:
         """Return whether the peer's clock must be read before the queued messages are sent.
 
-        The peer would drop jobs, and could not order cancellations, since it can't tell how long
-        they were on their way.
+        The peer would drop jobs, could not order cancellations, and could not rely on a list of
+        workers, since it can't tell how long they were on their way.
         """
         if self.peer_clock.age_s() < MAX_CLOCK_AGE_S or self.has_answered_within(MAX_CLOCK_AGE_S):
             return False
-        return any(isinstance(message, Submit | Cancel) for message in self._queue)
+        return any(isinstance(m, Submit | Cancel | WorkerListSnapshot) for m in self._queue)
 
     async def _exchange(self, messages: list[Message], *, queued_at: float) -> None:
         """Deliver messages and let the observer process the acknowledgement.
--- a/zincwell/dispatch/_types.py
+++ b/zincwell/dispatch/_types.py
@@ -16,12 +16,14 @@
     :param drain_grace_s: time between SIGTERM and SIGKILL.
     :param leave_notice_s: how long a worker may still receive tasks after it has announced its
         shutdown.
+    :param report_interval_s: interval at which a worker renews its entry in the worker list.
     """
 
     max_lease_s: float = 1.0
     thaw_slack_s: float = 0.3
     drain_grace_s: float = 6.0
     leave_notice_s: float = 2.0
+    report_interval_s: float = 1.5
 
 
 class TaskId(NamedTuple):
--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -50,6 +50,9 @@
 UNLISTED_TIMEOUT_S = 120.0
 # The same for a worker that was draining. Its last lease has expired by then.
 DRAINED_TIMEOUT_S = 2.0
+# A worker that has left the list and has not answered for this long has no run of this owner or of
+# the one before. Leases last 1.37 s at most.
+NO_RUNS_AFTER_SILENCE_S = 5.0
 # A worker that has not answered for this long may have accepted another owner, so it must report
 # its runs again before it counts as held.
 HELD_TIMEOUT_S = 0.5
@@ -191,6 +194,7 @@
         self._leaves_orders_unanswered = False
         self._closed = False
         self._loop = asyncio.get_running_loop()
+        self._opened_at = self._loop.time()
         self._listed = True
         self._unlisted_at = 0.0
         self._retry = asyncio.Event()
@@ -242,6 +246,25 @@
         self._unlisted_at = self._loop.time()
         self._retry.set()
 
+    def may_run_unlisted(self) -> bool:
+        """Return whether the worker has left the list, but may be running tasks of this cell."""
+        if self._listed or self.replaced:
+            return False
+        heard_at = max(self.last_answer_at, self._opened_at)
+        return bool(self.runs) or self._loop.time() - heard_at < NO_RUNS_AFTER_SILENCE_S
+
+    def may_hide_runs(self) -> bool:
+        """Return whether runs of an earlier owner may be active that the worker has not reported.
+
+        Not on a worker that has left the list and has never answered: it was about to lapse when
+        the earlier owner still used it, and the leases of that time have expired.
+        """
+        if self.held or self.replaced:
+            return False
+        answered = self.last_answer_at > 0.0
+        open_s = self._loop.time() - self._opened_at
+        return self._listed or answered or open_s < NO_RUNS_AFTER_SILENCE_S
+
     def is_gone(self) -> bool:
         """Return whether the session can be closed.
 
--- a/zincwell/dispatch/_worker_set.py
+++ b/zincwell/dispatch/_worker_set.py
@@ -85,6 +85,10 @@
             if info.id not in self.sessions_by_id and self._is_assigned(info):
                 self._open_session(info).set_listed(False)
 
+    def unlisted(self) -> list[WorkerInfo]:
+        """Return the workers that have left the list, but may be running tasks."""
+        return [s.info for s in self.sessions_by_id.values() if s.may_run_unlisted()]
+
     def raise_fence(self, fence: int) -> None:
         """Use a higher fencing token for all workers from now on."""
         for session in self.sessions_by_id.values():
@@ -93,7 +97,7 @@
     def all_held(self) -> bool:
         """Return whether every worker has accepted the fencing token and reported its runs."""
         sessions = self.sessions_by_id.values()
-        return bool(sessions) and all(session.held or session.replaced for session in sessions)
+        return bool(sessions) and not any(session.may_hide_runs() for session in sessions)
 
     def all_probed(self) -> bool:
         """Return whether every worker has reported its runs or does not answer."""
--- a/zincwell/dispatch/decisions/__init__.py
+++ b/zincwell/dispatch/decisions/__init__.py
@@ -82,6 +82,12 @@
     choose_classes,
     group_by_speed,
 )
+from zincwell.dispatch.decisions._worker_knowledge import (
+    REPORTS_MISSED_AT_EXPIRY,
+    SILENT_OWNER_HAS_ENDED_JOBS_S,
+    knows_every_worker,
+    may_have_left_runs,
+)
 from zincwell.dispatch.decisions._worker_speeds import WorkerSpeeds, estimate_step_log
 
 __all__ = [
@@ -96,6 +102,8 @@
     "MIN_OWN_CELL_WORKERS",
     "MIN_PROGRESS_PERCENT",
     "NO_WORKERS_BACKLOG_S",
+    "REPORTS_MISSED_AT_EXPIRY",
+    "SILENT_OWNER_HAS_ENDED_JOBS_S",
     "SLOW_WORKER_RATIO",
     "SUSPECT_AFTER_S",
     "WORKERS_PER_CORE",
@@ -140,8 +148,10 @@
     "is_stalled",
     "judge_late_job",
     "judge_worker",
+    "knows_every_worker",
     "latest_useful_age_s",
     "leaves_orders_unanswered",
+    "may_have_left_runs",
     "may_start_late",
     "meets_objective",
     "min_poll_interval_s",
--- a/zincwell/platform/_settings.py
+++ b/zincwell/platform/_settings.py
@@ -79,6 +79,7 @@
             thaw_slack_s=_number(values, "bounds.thawSlackMs", 300) / 1000,
             drain_grace_s=_number(values, "bounds.graceS", 6),
             leave_notice_s=_number(values, "bounds.drainMs", 2000) / 1000,
+            report_interval_s=_number(values, "heartbeatMs", 1500) / 1000,
         ),
     )
 
