Decode all that others write by one function, and keep all loops running

Cause: msgspec raises RecursionError, which is none of its own errors, for a value that is nested more than about 1,000 levels deep. It left the decoder and ended the task that follows the list; nothing started that again.

All decoders are made by one function, which raises one error whatever it is given. A fuzz of all of them (Hypothesis, and deep nesting at each place) found more: texts like "inf" for sloMs or stretch left the follower of the configuration; two steps of 1e308 ms overflowed at the owner, in the middle of an envelope, whose other messages were lost; a worker's name of task -1 counted as the last one. Each now costs the item alone.

All loops are started again after a growing pause, logged and counted. An entry with a loop that fails three times in a row says that it is not ready; loops for one worker, entry or connection don't count there. An error in a message or a worker call costs that one. The log check of the tests' world looks for the new events as well as for task_failed.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -15,6 +15,8 @@
 from tests.dispatch_world import World
 from tests.lone import TOKEN, SingleEntry, open_single_entry
 
+# Events of the log that tell of an exception that nobody foresaw.
+FAILURE_EVENTS = ("task_failed", "loop_failed", "message_failed", "worker_call_failed")
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
@@ -96,4 +98,20 @@
     yield world
     world.close()
     assert_that(world.violations, Equals([]))
-    assert_that([r.message for r in caplog.records if "task_failed" in r.message], Equals([]))
+    assert_that(find_failures(caplog), Equals([]))
+
+
+def find_failures(caplog: pytest.LogCaptureFixture) -> list[str]:
+    """Return the log lines that tell of an exception that nobody foresaw."""
+    messages = [record.message for record in caplog.records]
+    return [text for text in messages if any(event in text for event in FAILURE_EVENTS)]
+
+
+@pytest.fixture
+def faulty_world(monkeypatch: pytest.MonkeyPatch) -> Iterator[World]:
+    """A simulated platform for tests that inject exceptions; background tasks may fail."""
+    monkeypatch.setattr("zincwell.dispatch._owner.perf_counter", lambda: 0.0)
+    world = World()
+    yield world
+    world.close()
+    assert_that(world.violations, Equals([]))
--- a/zincwell/adapters/_platform.py
+++ b/zincwell/adapters/_platform.py
@@ -9,7 +9,13 @@
 import msgspec
 from msgspec import Struct
 
-from zincwell.exceptions import DirectoryUnavailableError, LogUnavailableError, RecordsExpiredError
+from zincwell.decoding import make_decoder
+from zincwell.exceptions import (
+    DirectoryUnavailableError,
+    LogUnavailableError,
+    MalformedJsonError,
+    RecordsExpiredError,
+)
 from zincwell.ports import LogService, Record, Vm, VmDirectory
 
 CALL_TIMEOUT_S = 2.0
@@ -38,6 +44,11 @@
     vms: list[Vm]
 
 
+_decode_append_reply = make_decoder(AppendReply)
+_decode_read_reply = make_decoder(ReadReply)
+_decode_list_reply = make_decoder(ListReply)
+
+
 class HttpLogService(LogService):
     """HTTP client for the log service.
 
@@ -62,8 +73,8 @@
                 raw = await response.read()
                 if response.status != HTTP_OK:
                     raise LogUnavailableError(f"append returned HTTP status {response.status}")
-            return msgspec.json.decode(raw, type=AppendReply).offset
-        except (*NETWORK_ERRORS, msgspec.MsgspecError) as error:
+            return _decode_append_reply(raw).offset
+        except (*NETWORK_ERRORS, MalformedJsonError) as error:
             raise LogUnavailableError(f"append to stream {stream} failed: {error!r}") from error
 
     async def read(self, *, stream: str, start: int, wait_s: float) -> list[Record]:
@@ -80,8 +91,8 @@
                 raw = await response.read()
                 if response.status not in (HTTP_OK, HTTP_GONE):
                     raise LogUnavailableError(f"read returned HTTP status {response.status}")
-            reply = msgspec.json.decode(raw, type=ReadReply)
-        except (*NETWORK_ERRORS, msgspec.MsgspecError) as error:
+            reply = _decode_read_reply(raw)
+        except (*NETWORK_ERRORS, MalformedJsonError) as error:
             raise LogUnavailableError(f"read of stream {stream} failed: {error!r}") from error
         if response.status == HTTP_GONE:
             raise RecordsExpiredError(first=reply.first)
@@ -111,8 +122,8 @@
                     raise DirectoryUnavailableError(
                         f"VM directory returned HTTP status {response.status}"
                     )
-            return msgspec.json.decode(raw, type=ListReply).vms
-        except (*NETWORK_ERRORS, msgspec.MsgspecError) as error:
+            return _decode_list_reply(raw).vms
+        except (*NETWORK_ERRORS, MalformedJsonError) as error:
             raise DirectoryUnavailableError(
                 f"reading the VM directory failed: {error!r}"
             ) from error
--- a/zincwell/adapters/_worker.py
+++ b/zincwell/adapters/_worker.py
@@ -10,7 +10,13 @@
 from msgspec import Struct
 
 from zincwell.adapters._platform import HTTP_OK, NETWORK_ERRORS
-from zincwell.exceptions import WorkerConnectionError, WorkerError, WorkerUnreachableError
+from zincwell.decoding import make_decoder
+from zincwell.exceptions import (
+    MalformedJsonError,
+    WorkerConnectionError,
+    WorkerError,
+    WorkerUnreachableError,
+)
 from zincwell.ports import EventKind, Start, WorkerEvent, WorkerLease, WorkerTransport
 
 CALL_TIMEOUT_S = 1.0
@@ -27,7 +33,7 @@
         EventKind.LOST,
     }
 )
-BROKEN_STREAM_ERRORS = (*NETWORK_ERRORS, msgspec.MsgspecError, ValueError)
+BROKEN_STREAM_ERRORS = (*NETWORK_ERRORS, MalformedJsonError, ValueError)
 
 
 class LeaseCall(Struct, frozen=True):
@@ -175,6 +181,9 @@
             raise WorkerConnectionError(f"{path}: {error!r}") from error
 
 
+_decode_event = make_decoder(WorkerEvent)
+
+
 async def _read_event(response: aiohttp.ClientResponse, silence_s: float) -> WorkerEvent:
     """Read one line of a stream.
 
@@ -184,7 +193,7 @@
         line = await response.content.readline()
     if not line.endswith(b"\n"):
         raise WorkerConnectionError("the stream ended before each task had a final event")
-    event = msgspec.json.decode(line, type=WorkerEvent)
+    event = _decode_event(line)
     if event.kind is EventKind.COMPLETED and len(bytes(event.output)) != event.length:
         raise WorkerConnectionError(f"the output of task {event.id} differs from its stated length")
     return event
@@ -214,6 +223,6 @@
 
 def _decode(raw: bytes, type_):
     try:
-        return msgspec.json.decode(raw, type=type_)
-    except msgspec.MsgspecError as error:
+        return make_decoder(type_)(raw)
+    except MalformedJsonError as error:
         raise WorkerError(f"malformed response: {error}") from error
--- a/zincwell/admin.py
+++ b/zincwell/admin.py
@@ -11,7 +11,8 @@
 from zincwell._call_errors import describe_call_error
 from zincwell.adapters import make_client_tls
 from zincwell.core._publishing import Proposal
-from zincwell.exceptions import AdminError, OpenChangeError
+from zincwell.decoding import make_decoder
+from zincwell.exceptions import AdminError, MalformedJsonError, OpenChangeError
 from zincwell.listeners import CheckReply, ConfigReply, PublishReply
 from zincwell.models import Answer
 from zincwell.settings import read_secret
@@ -25,6 +26,8 @@
 HTTP_SERVER_ERROR = 500
 NETWORK_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
 
+_decode_answer = make_decoder(Answer)
+
 
 class AdminClient:
     """Blocking client of one entry.
@@ -96,8 +99,8 @@
 
     def _decode(self, path: str, status: int, body: bytes, type_: Any) -> Any:
         try:
-            return msgspec.json.decode(body, type=type_)
-        except msgspec.MsgspecError:
+            return make_decoder(type_)(body)
+        except MalformedJsonError:
             raise AdminError(f"{self._url}{path}: {status} {_detail(body)}") from None
 
     async def _send(self, method: str, path: str, value: Any) -> tuple[int, bytes]:
@@ -119,7 +122,7 @@
 def _detail(body: bytes) -> str:
     """Return the error message in the body of an answer."""
     try:
-        answer = msgspec.json.decode(body, type=Answer)
-    except msgspec.MsgspecError:
+        answer = _decode_answer(body)
+    except MalformedJsonError:
         return body[:200].decode(errors="replace")
     return f"{answer.reason}: {answer.detail}"
--- a/zincwell/core/_answers.py
+++ b/zincwell/core/_answers.py
@@ -7,7 +7,8 @@
 
 from zincwell.core._jobs import Job
 from zincwell.core._messages import AttachKind, AttachReply
-from zincwell.models import Answer, Outcome
+from zincwell.exceptions import BadRequestError
+from zincwell.models import Answer, Outcome, decode_answer
 
 
 def not_run_answer(key: str, reason: str, retry_after_ms: int | None) -> Answer:
@@ -40,7 +41,10 @@
 
 
 def answer_from(reply: AttachReply) -> Answer | None:
-    """Return the answer in an owner's reply, or None if it holds none."""
+    """Return the answer in an owner's reply, or None if it holds none that can be read."""
     if reply.kind is not AttachKind.ANSWER:
         return None
-    return msgspec.json.decode(reply.answer, type=Answer)
+    try:
+        return decode_answer(bytes(reply.answer))
+    except BadRequestError:
+        return None
--- a/zincwell/core/_dispatch.py
+++ b/zincwell/core/_dispatch.py
@@ -19,6 +19,7 @@
 from zincwell.models import Answer, Outcome
 from zincwell.ports import Clock, EventKind, Vm, WorkerEvent, WorkerTransport
 from zincwell.settings import TimingSettings
+from zincwell.supervision import supervisor
 
 RUN_LIMIT_CHECK_PERIOD_S = 0.1
 SPILLED_WEIGHT = 0.1
@@ -380,7 +381,9 @@
     def _add_worker(self, pool: Pool, vm: Vm) -> None:
         worker = self.make_worker(pool, vm, transport=self._open_worker(vm), timing=self._timing)
         pool.worker_by_name[vm.vm] = worker
-        self._lease_task_by_worker[vm.vm] = asyncio.create_task(worker.run())
+        self._lease_task_by_worker[vm.vm] = asyncio.create_task(
+            supervisor.keep_running(worker.run, name="worker_lease", essential=False)
+        )
         log.info("worker_added", extra={"worker": vm.vm, "pool": pool.name})
 
     def _drop_worker(self, pool: Pool, name: str) -> None:
--- a/zincwell/core/_peers.py
+++ b/zincwell/core/_peers.py
@@ -25,7 +25,8 @@
 )
 from zincwell.core._seat import SeatKeeper
 from zincwell.core._slot_shares import NO_LENDING, Shares
-from zincwell.exceptions import PeerUnavailableError
+from zincwell.decoding import make_decoder
+from zincwell.exceptions import MalformedJsonError, PeerUnavailableError
 from zincwell.ports import Clock, PeerTransport
 from zincwell.settings import TimingSettings
 
@@ -58,8 +59,8 @@
         body = msgspec.json.encode(message)
         raw = await self._transport.call(url=url, path=path, body=body, timeout_s=timeout_s)
         try:
-            return msgspec.json.decode(raw, type=reply)
-        except msgspec.MsgspecError as error:
+            return make_decoder(reply)(raw)
+        except MalformedJsonError as error:
             raise PeerUnavailableError(f"{url}{path}: malformed answer: {error}") from error
 
 
--- a/zincwell/core/_spill.py
+++ b/zincwell/core/_spill.py
@@ -22,6 +22,7 @@
 from zincwell.core._worker import Worker
 from zincwell.ports import Clock, Vm, WorkerTransport
 from zincwell.settings import TimingSettings
+from zincwell.supervision import supervisor
 
 CHECK_INTERVAL_S = 0.03
 LENDER_LEASE_S = 0.8
@@ -146,7 +147,9 @@
         )
         pool.lender_by_name[worker.name] = worker
         self._last_useful_at_by_worker[worker] = self._clock.monotonic()
-        self._lease_task_by_worker[worker] = asyncio.create_task(worker.run())
+        self._lease_task_by_worker[worker] = asyncio.create_task(
+            supervisor.keep_running(worker.run, name="worker_lease", essential=False)
+        )
         log.info("lender_added", extra={"lender": seat.id, "pool": pool.name})
 
     def _remove_lender(self, pool: Pool, worker: Worker) -> None:
--- a/zincwell/dispatch/_background.py
+++ b/zincwell/dispatch/_background.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import logging
-from collections.abc import Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
+from zincwell.supervision import supervisor
+
 log = logging.getLogger("zincwell.tasks")
 
 
@@ -27,6 +29,19 @@
         self._tasks[task] = None
         task.add_done_callback(self._on_task_done)
 
+    def keep_running(
+        self,
+        run: Callable[[], Awaitable[None]],
+        *,
+        name: str,
+        essential: bool = True,
+        on_failure: Callable[[], None] | None = None,
+    ) -> None:
+        """Start a loop that is started again if it fails; see `LoopSupervisor.keep_running`."""
+        self.spawn(
+            supervisor.keep_running(run, name=name, essential=essential, on_failure=on_failure)
+        )
+
     def close(self) -> None:
         """Cancel all tasks."""
         for task in list(self._tasks):
--- a/zincwell/dispatch/_cells.py
+++ b/zincwell/dispatch/_cells.py
@@ -10,11 +10,12 @@
 import zlib
 from collections.abc import Iterable
 
-import msgspec
 from msgspec import Struct
 
+from zincwell.decoding import make_decoder
 from zincwell.dispatch._types import EntryInfo
 from zincwell.dispatch.decisions import CellShape
+from zincwell.exceptions import MalformedJsonError
 
 LAYOUT_KEY = "layout"
 OWNER_KEY = "owner"
@@ -104,10 +105,13 @@
     return Layout(cells=cells)
 
 
+_decode_layout_record = make_decoder(Layout)
+
+
 def decode_layout(value: bytes) -> Layout | None:
     """Decode a layout; return None if it is invalid or has no cells."""
     try:
-        layout = msgspec.json.decode(value, type=Layout)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+        layout = _decode_layout_record(value)
+    except MalformedJsonError:
         return None
     return layout if layout.cells else None
--- a/zincwell/dispatch/_configurations.py
+++ b/zincwell/dispatch/_configurations.py
@@ -45,7 +45,7 @@
         self._encoded = b""
         self._loop = asyncio.get_running_loop()
         self._tasks = BackgroundTasks()
-        self._tasks.spawn(self._catch_up_forever())
+        self._tasks.keep_running(self._catch_up_forever, name="configuration_copies")
 
     def close(self) -> None:
         """Stop fetching configurations."""
--- a/zincwell/dispatch/_election.py
+++ b/zincwell/dispatch/_election.py
@@ -20,6 +20,7 @@
 
 import msgspec
 
+from zincwell.decoding import make_decoder
 from zincwell.dispatch._background import BackgroundTasks
 from zincwell.dispatch._cells import LAYOUT_KEY, WHOLE_POOL_CELL, Cell
 from zincwell.dispatch._messages import OwnerHeartbeat, Receipt
@@ -31,9 +32,12 @@
     StoreUnavailableError,
     Topic,
 )
+from zincwell.exceptions import MalformedJsonError
 
 log = logging.getLogger("zincwell.election")
 
+_decode_owner_claim = make_decoder(OwnerClaim)
+
 # The tokens between two claims are reserved for stand-ins: in each round, one for each member of
 # the older claim.
 TOKENS_PER_CLAIM = 4096
@@ -212,7 +216,7 @@
         self._is_checking_store = False
         self._store_failed_at = -math.inf
         self._tasks = BackgroundTasks()
-        self._tasks.spawn(self._run())
+        self._tasks.keep_running(self._run, name="election")
 
     def close(self) -> None:
         """Stop taking part in the election."""
@@ -680,7 +684,7 @@
 def decode_claim(value: bytes) -> OwnerClaim | None:
     """Decode a claim; log an error and return None if it is invalid."""
     try:
-        return msgspec.json.decode(value, type=OwnerClaim)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return _decode_owner_claim(value)
+    except MalformedJsonError as error:
         log.error('claim_unreadable error="%s"', error)
         return None
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from zincwell.decoding import make_decoder
 from zincwell.dispatch._announcements import Announcements
 from zincwell.dispatch._background import BackgroundTasks
 from zincwell.dispatch._cell_directory import CellDirectory
@@ -78,9 +79,13 @@
     Topic,
     WorkerClient,
 )
+from zincwell.exceptions import MalformedJsonError
+from zincwell.supervision import supervisor
 
 log = logging.getLogger("zincwell.node")
 
+decode_entry = make_decoder(EntryInfo)
+
 # Interval between the owner's heartbeats. Entries suspect the owner after three missed ones.
 HEARTBEAT_INTERVAL_S = 0.1
 # Entries ask owners of other cells whether they are reachable when the owner of the home cell has
@@ -236,11 +241,14 @@
             clock=self._clock,
             wait_s=ENTRIES_LONG_POLL_S,
         )
-        self._tasks.spawn(self._register())
-        self._tasks.spawn(self._send_heartbeats_forever())
-        self._tasks.spawn(self._write_liveness_forever())
-        self._tasks.spawn(self._check_layout_forever())
-        self._tasks.spawn(self._update_worker_list_reading_forever())
+        for name, loop in (
+            ("registration", self._register),
+            ("heartbeats", self._send_heartbeats_forever),
+            ("liveness", self._write_liveness_forever),
+            ("layout", self._check_layout_forever),
+            ("worker_list_reading", self._update_worker_list_reading_forever),
+        ):
+            self._tasks.keep_running(loop, name=name)
 
     def _start_reachability_monitoring(self) -> None:
         """Start to track which failure domains of the home cell are reachable."""
@@ -277,6 +285,8 @@
 
     def is_ready(self) -> bool:
         """Return whether the load balancer should send callers to this entry."""
+        if supervisor.has_failing_loops():
+            return False
         if self.leaving or self.configuration is None or not self.election.fence:
             return False
         if self.election.owner is not None and self.election.silence_s() < 1.0:
@@ -303,6 +313,8 @@
         }
         if self._owner is not None:
             gauges.update(self._owner.gauges())
+        for loop, failures in supervisor.failures_by_loop.items():
+            gauges[f'loop_failures_total{{loop="{loop}"}}'] = failures
         return self._metrics.render(gauges)
 
     async def drain(self) -> None:
@@ -511,10 +523,11 @@
 
     def _note_entry(self, key: str, record: StoreRecord) -> None:
         try:
-            entry = msgspec.json.decode(record.value, type=EntryInfo)
-            self._directory.note(msgspec.structs.replace(entry, registered=record.offset))
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            entry = decode_entry(record.value)
+        except MalformedJsonError as error:
             log.error('entry_unreadable key=%s error="%s"', key, error)
+            return
+        self._directory.note(msgspec.structs.replace(entry, registered=record.offset))
 
     def _check_owner_restart(self) -> None:
         """Notify the election if a later incarnation of the owner is known."""
@@ -581,7 +594,12 @@
             if isinstance(message, Cancel) and not LATE_DELIVERY_S < delay_s < UNKNOWN_DELAY_S:
                 # The bound would make it older than a request that it is meant for.
                 age_s = envelope.waited_s
-            self._handle(envelope.sender, message, delay_s=age_s)
+            try:
+                self._handle(envelope.sender, message, delay_s=age_s)
+            except Exception:
+                # It must cost only itself: the sender is told that all of them have arrived.
+                self._metrics.count("messages_failed")
+                log.exception("message_failed entry=%s", envelope.sender.name)
 
     def _handle(self, sender: EntryInfo, message: Message, *, delay_s: float = 0.0) -> None:
         """Dispatch one message to its handler.
@@ -996,7 +1014,7 @@
 
     def on_superseded(self) -> None:
         """Look up the current owner after a worker has refused this owner's fencing token."""
-        self._tasks.spawn(self._resolve_ownership())
+        self._tasks.keep_running(self._resolve_ownership, name="ownership")
 
     async def _resolve_ownership(self) -> None:
         election, fence = self.election, self.election.fence
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -229,7 +229,7 @@
         self._opened_at = self._loop.time()
         self._loop.call_later(STARTUP_DELAY_S, self.on_capacity_available)
         self._tasks = BackgroundTasks()
-        self._tasks.spawn(self._review_forever())
+        self._tasks.keep_running(self._review_forever, name="owner")
 
     def close(self) -> None:
         """Stop scheduling and close all worker sessions."""
--- a/zincwell/dispatch/_peers.py
+++ b/zincwell/dispatch/_peers.py
@@ -106,7 +106,9 @@
         self._loop = asyncio.get_running_loop()
         self._heard_at = self._loop.time()
         self._tasks = BackgroundTasks()
-        self._tasks.spawn(self._run())
+        self._tasks.keep_running(
+            self._run, name="peer", essential=False, on_failure=self._requeue_in_flight
+        )
 
     def send(self, message: Message) -> None:
         """Queue a message."""
@@ -225,6 +227,14 @@
                 messages, self._queue = self._queue, []
                 await self._exchange(messages, queued_at=self._queued_at)
 
+    def _requeue_in_flight(self) -> None:
+        """Queue the messages again whose delivery has failed in an unforeseen way."""
+        if self._in_flight:
+            self._queued_at = self._in_flight_queued_at
+            self._queue = self._in_flight + self._queue
+            self._in_flight = []
+        self._wake.set()
+
     def _must_read_clock(self) -> bool:
         """Return whether the peer's clock must be read before the queued messages are sent.
 
--- a/zincwell/dispatch/_pending_jobs.py
+++ b/zincwell/dispatch/_pending_jobs.py
@@ -157,7 +157,7 @@
         self._clock = clock or self._loop.time
         self.ticks = LoopTicks(clock=self._clock)
         self._tasks = BackgroundTasks()
-        self._tasks.spawn(self._review_forever())
+        self._tasks.keep_running(self._review_forever, name="callers")
 
     def close(self) -> None:
         """Stop reviewing waiting jobs."""
--- a/zincwell/dispatch/_topic_follower.py
+++ b/zincwell/dispatch/_topic_follower.py
@@ -74,7 +74,11 @@
         self._at_end = True
         self._loop = asyncio.get_running_loop()
         self._tasks = BackgroundTasks()
-        self._tasks.spawn(self._follow_forever())
+        self._tasks.keep_running(
+            self._follow_forever,
+            name=f"follow_{topic.name.lower()}",
+            on_failure=self._handle_failure,
+        )
 
     def close(self) -> None:
         """Stop following the topic."""
@@ -113,6 +117,12 @@
             if self.pause_s and self._at_end:
                 await self._pause()
 
+    def _handle_failure(self) -> None:
+        """Read the topic anew after a failure, since the changes of a page may not be applied."""
+        self._next_offset = None
+        self._failures += 1
+        self._set_reachable(False, "failed")
+
     async def _pause(self) -> None:
         try:
             async with asyncio.timeout(self.pause_s):
--- a/zincwell/dispatch/_worker_calls.py
+++ b/zincwell/dispatch/_worker_calls.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import logging
+from collections.abc import Iterator
 
 from zincwell.dispatch._clocks import MAX_CLOCK_DRIFT_RATE, WorkerClock
 from zincwell.dispatch._runs import Run
@@ -22,6 +25,8 @@
 )
 from zincwell.exceptions import ZincwellError
 
+log = logging.getLogger("zincwell.worker")
+
 # How long a worker with runs keeps a hold call open while none of them ends. A take-over completes
 # about 0.55 s after the owner's last heartbeat, so a lease of 1 s must be at most 0.45 s old then.
 HOLD_WAIT_S = 0.25
@@ -41,6 +46,22 @@
         self.born_ms = born_ms
 
 
+@contextlib.contextmanager
+def _converting_errors(call: str) -> Iterator[None]:
+    """Turn an unforeseen error of a call into a failed call.
+
+    It may come from what the worker has answered. A run whose start ended in it would occupy its
+    capacity, and its job would wait, for the rest of the term.
+    """
+    try:
+        yield
+    except ZincwellError:
+        raise
+    except Exception as error:
+        log.exception("worker_call_failed call=%s", call)
+        raise WorkerCallError(f"{call}: {error!r}") from error
+
+
 def max_lease_s(limits: Limits) -> float:
     """Return for how long a lease that is requested now may last on this entry's clock."""
     return limits.max_lease_s * (1 + MAX_CLOCK_DRIFT_RATE) + limits.thaw_slack_s
@@ -106,7 +127,8 @@
             fence=self.fence,
         )
         sent_at = self._loop.time()
-        reply = await self._client.start(self.info, order, timeout_s=START_VALIDITY_MS / 1000)
+        with _converting_errors("start"):
+            reply = await self._client.start(self.info, order, timeout_s=START_VALIDITY_MS / 1000)
         self._timeout_estimator.note_answer(self._loop.time() - sent_at)
         if reply.clock_ms is not None:
             self.clock.update(reply.clock_ms)
@@ -114,9 +136,10 @@
 
     async def stop(self, task: TaskId, number: int) -> None:
         """Stop a run. If it has not started, the worker refuses it from then on."""
-        await self._client.stop(
-            self.info, task=task, run=number, fence=self.fence, timeout_s=MAX_ANSWER_TIMEOUT_S
-        )
+        with _converting_errors("stop"):
+            await self._client.stop(
+                self.info, task=task, run=number, fence=self.fence, timeout_s=MAX_ANSWER_TIMEOUT_S
+            )
 
     async def hold(
         self,
@@ -134,14 +157,15 @@
         """
         sent_at = self._loop.time()
         try:
-            reply = await self._client.hold(
-                self.info,
-                fence=self.fence,
-                acknowledged=self._acknowledged_safely(),
-                deadline_ms=self._lease_deadline_ms() if renew_leases else None,
-                wait_s=wait_s,
-                timeout_s=wait_s + answer_timeout_s,
-            )
+            with _converting_errors("hold"):
+                reply = await self._client.hold(
+                    self.info,
+                    fence=self.fence,
+                    acknowledged=self._acknowledged_safely(),
+                    deadline_ms=self._lease_deadline_ms() if renew_leases else None,
+                    wait_s=wait_s,
+                    timeout_s=wait_s + answer_timeout_s,
+                )
         except WorkerCallError:
             self._timeout_estimator.note_timeout()
             self._answered = False
--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -204,7 +204,9 @@
 
     def open(self) -> None:
         """Start polling the worker."""
-        self._tasks.spawn(self._hold_forever())
+        self._tasks.keep_running(
+            self._hold_forever, name="worker", essential=False, on_failure=self._handle_poll_failure
+        )
 
     def close(self) -> None:
         """Stop polling and cancel open calls."""
@@ -639,12 +641,21 @@
                     )
                 self.silent = True
             failures += 1
-            if self._loop.time() - self.last_answer_at > HELD_TIMEOUT_S:
-                self.held = False
-            if self.runs and self._calls.have_leases_expired():
-                self._abandon_expired_runs()
+            self._review_silence()
             await self._pause(failures)
 
+    def _review_silence(self) -> None:
+        """Draw the conclusions from a poll without a valid answer."""
+        if self._loop.time() - self.last_answer_at > HELD_TIMEOUT_S:
+            self.held = False
+        if self.runs and self._calls.have_leases_expired():
+            self._abandon_expired_runs()
+
+    def _handle_poll_failure(self) -> None:
+        """Treat a poll that has failed in an unforeseen way like one without an answer."""
+        self.silent = True
+        self._review_silence()
+
     async def _pause(self, failures: int) -> None:
         """Wait before the next attempt, at most until the listing or the fencing token changes."""
         pause_s = min(RETRY_PAUSE_S * failures, MAX_RETRY_PAUSE_S)
--- a/zincwell/entry.py
+++ b/zincwell/entry.py
@@ -43,6 +43,7 @@
 from zincwell.ports import Clock, Vm
 from zincwell.settings import Settings, read_secret
 from zincwell.status import Status, describe
+from zincwell.supervision import supervisor
 
 PEER_KEEPALIVE_S = 10.0
 WILDCARD_ADDRESS = "0.0.0.0"
@@ -101,18 +102,18 @@
         if self.settings.otlp_endpoint:
             self.metrics.export(self.settings.otlp_endpoint, vm=self.settings.vm)
         self._tasks = [
-            asyncio.create_task(coroutine)
-            for coroutine in (
-                self.seats_follower.run(),
-                self.config_follower.run(),
-                self.keeper.run(),
-                self.heartbeats.run(),
-                self.directory_poller.run(),
-                self.snapshots.run(),
-                self.dispatcher.enforce_run_limits(),
-                self.spill.run(),
-                self._recover_keys(),
-                self._expire_old_state(),
+            asyncio.create_task(supervisor.keep_running(loop, name=name))
+            for name, loop in (
+                ("seats", self.seats_follower.run),
+                ("configuration", self.config_follower.run),
+                ("keeper", self.keeper.run),
+                ("heartbeats", self.heartbeats.run),
+                ("directory", self.directory_poller.run),
+                ("snapshots", self.snapshots.run),
+                ("run_limits", self.dispatcher.enforce_run_limits),
+                ("spill", self.spill.run),
+                ("recovery", self._recover_keys),
+                ("expiry", self._expire_old_state),
             )
         ]
         log.info(
@@ -156,7 +157,9 @@
     # -- state ---------------------------------------------------------------------------
 
     def is_ready(self) -> bool:
-        """Return whether this entry accepts callers: not draining, and configured."""
+        """Return whether this entry accepts callers: not draining, configured, loops running."""
+        if supervisor.has_failing_loops():
+            return False
         return not self.is_draining and self.configuration.document is not None
 
     def has_workers(self) -> bool:
--- a/zincwell/exceptions.py
+++ b/zincwell/exceptions.py
@@ -16,6 +16,10 @@
     """A document is malformed or invalid; the message names the field."""
 
 
+class MalformedJsonError(ZincwellError):
+    """What another program has written is no JSON, or not of the expected form."""
+
+
 class BadRequestError(ZincwellError):
     """A caller's request is malformed; the message names the field."""
 
--- a/zincwell/explain.py
+++ b/zincwell/explain.py
@@ -15,7 +15,7 @@
     r"event=(owner_followed|owner_elected|owner_leaving|owner_closed|stepped_down"
     r"|layout_changed|layout_followed|worker_silent|worker_back"
     r"|worker_replaced|worker_set_aside|lease_lapsed|store_lost|store_regained|lines_dropped"
-    r"|task_failed|draining)\b"
+    r"|task_failed|loop_failed|message_failed|worker_call_failed|draining)\b"
 )
 # Context events are included from this long before the job's first line, since a lease lasts 1 s
 # and an owner failover takes less.
--- a/zincwell/listeners/_drafts.py
+++ b/zincwell/listeners/_drafts.py
@@ -12,7 +12,8 @@
 from msgspec import Struct
 
 from zincwell.core._configuration import Configuration, make_patch, merge_patch
-from zincwell.exceptions import BadRequestError
+from zincwell.decoding import make_decoder
+from zincwell.exceptions import BadRequestError, MalformedJsonError
 
 Path = tuple[str, ...]
 
@@ -58,14 +59,17 @@
     return msgspec.json.encode(draft).decode()
 
 
+_decode_draft = make_decoder(Draft)
+
+
 def decode_draft(text: str) -> Draft:
     """Decode a draft from a form field.
 
     :raises BadRequestError: if the text is not a valid draft.
     """
     try:
-        return msgspec.json.decode(text, type=Draft)
-    except (msgspec.MsgspecError, RecursionError) as error:
+        return _decode_draft(text.encode(errors="replace"))
+    except MalformedJsonError as error:
         raise BadRequestError(f"the form has no draft in it: {error}") from error
 
 
--- a/zincwell/listeners/_operators.py
+++ b/zincwell/listeners/_operators.py
@@ -6,15 +6,15 @@
 import ipaddress
 from typing import TYPE_CHECKING, Any
 
-import msgspec
 from msgspec import Struct
 from result import Err
 from sanic import HTTPResponse, Request
 
 from zincwell.core._configuration import Verdict, make_patch
 from zincwell.core._publishing import Proposal
+from zincwell.decoding import make_decoder
 from zincwell.document import parse_document
-from zincwell.exceptions import DocumentError
+from zincwell.exceptions import DocumentError, MalformedJsonError
 from zincwell.listeners._console import ROOT, Console
 from zincwell.listeners._listener import Listener, reply
 from zincwell.models import Answer
@@ -33,6 +33,9 @@
 STATUS_BY_REASON = {"invalid_document": BAD_REQUEST, "entry_behind": TOO_EARLY}
 BEARER = "Bearer "
 
+_decode_document = make_decoder(dict[str, Any])
+_decode_proposal = make_decoder(Proposal)
+
 
 class ConfigReply(Struct, frozen=True, kw_only=True):
     """The configuration in force; the version is -1 if there is none."""
@@ -134,9 +137,9 @@
         """Validate a document and return what it would change, without publishing it."""
         configuration = self.entry.configuration
         try:
-            document = msgspec.json.decode(request.body, type=dict[str, Any])
+            document = _decode_document(request.body)
             parse_document(document)
-        except (msgspec.MsgspecError, DocumentError) as error:
+        except (MalformedJsonError, DocumentError) as error:
             body = CheckReply(version=configuration.version, error=str(error))
             return reply(body, status=BAD_REQUEST)
         patch = make_patch(configuration.value, document)
@@ -144,8 +147,8 @@
 
     async def _publish_config(self, request: Request) -> HTTPResponse:
         try:
-            proposal = msgspec.json.decode(request.body, type=Proposal)
-        except msgspec.MsgspecError as error:
+            proposal = _decode_proposal(request.body)
+        except MalformedJsonError as error:
             return reply(Answer(reason="bad_request", detail=str(error)), status=BAD_REQUEST)
         result = await self.entry.publisher.publish(proposal)
         if isinstance(result, Err):
--- a/zincwell/listeners/_peers.py
+++ b/zincwell/listeners/_peers.py
@@ -5,7 +5,6 @@
 import hmac
 from typing import TYPE_CHECKING
 
-import msgspec
 from sanic import HTTPResponse, Request
 
 from zincwell.adapters._peer import KEY_HEADER
@@ -16,6 +15,8 @@
     HandoverCall,
     Heartbeat,
 )
+from zincwell.decoding import make_decoder
+from zincwell.exceptions import MalformedJsonError
 from zincwell.listeners._listener import Listener, reply
 from zincwell.listeners._spill_routes import add_spill_routes
 from zincwell.models import Answer
@@ -27,6 +28,12 @@
 FORBIDDEN = 403
 BAD_REQUEST = 400
 
+_decode_heartbeat = make_decoder(Heartbeat)
+_decode_claim_batch = make_decoder(ClaimBatch)
+_decode_attach_call = make_decoder(AttachCall)
+_decode_cancel_call = make_decoder(CancelCall)
+_decode_handover_call = make_decoder(HandoverCall)
+
 
 class PeersListener(Listener):
     """Serves messages from other entries.
@@ -50,7 +57,7 @@
         add(self._handover, "/peer/handover", methods=["POST"])
         add_spill_routes(self.app, self.entry)
         self.app.on_request(self._check_key)
-        self.app.error_handler.add(msgspec.MsgspecError, _answer_malformed)
+        self.app.error_handler.add(MalformedJsonError, _answer_malformed)
 
     async def _check_key(self, request: Request) -> HTTPResponse | None:
         given = request.headers.get(KEY_HEADER, "")
@@ -59,29 +66,29 @@
         return None
 
     async def _heartbeat(self, request: Request) -> HTTPResponse:
-        heartbeat = msgspec.json.decode(request.body, type=Heartbeat)
+        heartbeat = _decode_heartbeat(request.body)
         return reply(self.entry.heartbeats.receive(heartbeat))
 
     async def _state(self, _: Request) -> HTTPResponse:
         return reply(self.entry.heartbeats.state())
 
     async def _claims(self, request: Request) -> HTTPResponse:
-        batch = msgspec.json.decode(request.body, type=ClaimBatch)
+        batch = _decode_claim_batch(request.body)
         claim = self.entry.home.claim
         return reply([claim(asker=batch.asker, claim=one) for one in batch.claims])
 
     async def _attach(self, request: Request) -> HTTPResponse:
-        call = msgspec.json.decode(request.body, type=AttachCall)
+        call = _decode_attach_call(request.body)
         return reply(await self.entry.submissions.attach(call))
 
     async def _cancel(self, request: Request) -> HTTPResponse:
-        call = msgspec.json.decode(request.body, type=CancelCall)
+        call = _decode_cancel_call(request.body)
         return reply(self.entry.submissions.cancel_for_peer(call))
 
     async def _handover(self, request: Request) -> HTTPResponse:
-        call = msgspec.json.decode(request.body, type=HandoverCall)
+        call = _decode_handover_call(request.body)
         return reply(self.entry.hand_over(call))
 
 
-def _answer_malformed(_: Request, error: msgspec.MsgspecError) -> HTTPResponse:
+def _answer_malformed(_: Request, error: MalformedJsonError) -> HTTPResponse:
     return reply(Answer(reason="bad_request", detail=str(error)), status=BAD_REQUEST)
--- a/zincwell/listeners/_spill_routes.py
+++ b/zincwell/listeners/_spill_routes.py
@@ -16,6 +16,7 @@
 from sanic import HTTPResponse, Request, Sanic
 
 from zincwell.adapters._worker import LeaseCall, StartCall, StopCall, WatchCall
+from zincwell.decoding import make_decoder
 from zincwell.listeners._listener import reply
 from zincwell.models import Answer
 from zincwell.ports import EventKind, WorkerEvent
@@ -27,6 +28,11 @@
 PREFIX = "/spill/<incarnation:str>/<pool:str>"
 NDJSON = "application/x-ndjson"
 
+_decode_lease_call = make_decoder(LeaseCall)
+_decode_start_call = make_decoder(StartCall)
+_decode_watch_call = make_decoder(WatchCall)
+_decode_stop_call = make_decoder(StopCall)
+
 
 def add_spill_routes(app: Sanic, entry: Entry) -> None:
     """Register the routes of the worker protocol."""
@@ -46,14 +52,14 @@
     async def lease(self, request: Request, incarnation: str, pool: str) -> HTTPResponse:
         if incarnation != self._entry.incarnation:
             return _answer_gone()
-        call = msgspec.json.decode(request.body, type=LeaseCall)
+        call = _decode_lease_call(request.body)
         lease = self._entry.spilled_tasks.lease(pool=pool, entry=call.entry, ttl_s=call.ttl_s)
         return reply(lease)
 
     async def start(self, request: Request, incarnation: str, pool: str) -> HTTPResponse | None:
         if incarnation != self._entry.incarnation:
             return _answer_gone()
-        call = msgspec.json.decode(request.body, type=StartCall)
+        call = _decode_start_call(request.body)
         events = self._entry.spilled_tasks.start(
             pool=pool, entry=call.entry, lease=call.lease, tasks=call.tasks
         )
@@ -62,7 +68,7 @@
     async def watch(self, request: Request, incarnation: str, pool: str) -> HTTPResponse | None:
         if incarnation != self._entry.incarnation:
             return _answer_gone()
-        call = msgspec.json.decode(request.body, type=WatchCall)
+        call = _decode_watch_call(request.body)
         return await _stream(
             request, self._entry.spilled_tasks.watch(ids=call.ids, fence=call.fence)
         )
@@ -70,7 +76,7 @@
     async def stop(self, request: Request, incarnation: str, pool: str) -> HTTPResponse:
         if incarnation != self._entry.incarnation:
             return _answer_gone()
-        call = msgspec.json.decode(request.body, type=StopCall)
+        call = _decode_stop_call(request.body)
         return reply(self._entry.spilled_tasks.stop(ids=call.ids))
 
 
--- a/zincwell/models.py
+++ b/zincwell/models.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import enum
-from typing import Annotated, Any
+from collections.abc import Callable
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 from msgspec import Meta, Raw, Struct
 
-from zincwell.exceptions import BadRequestError
+from zincwell.decoding import make_decoder
+from zincwell.exceptions import BadRequestError, MalformedJsonError
+
+T = TypeVar("T")
 
 #: Placeholder for an absent JSON value; omitted when a message is encoded.
 NO_VALUE = Raw(b"null")
@@ -118,9 +122,9 @@
     tasks: list[TaskAnswer] = []
 
 
-_submission_decoder = msgspec.json.Decoder(Submission)
-_request_decoder = msgspec.json.Decoder(Request)
-_answer_decoder = msgspec.json.Decoder(Answer)
+_submission_decoder = make_decoder(Submission)
+_request_decoder = make_decoder(Request)
+_answer_decoder = make_decoder(Answer)
 
 
 def decode_submission(body: bytes) -> Submission:
@@ -147,10 +151,8 @@
     return _decode(_answer_decoder, body)
 
 
-def _decode(decoder: msgspec.json.Decoder, body: bytes):
+def _decode(decoder: Callable[[bytes], T], body: bytes) -> T:
     try:
-        return decoder.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return decoder(body)
+    except MalformedJsonError as error:
         raise BadRequestError(str(error)) from error
-    except RecursionError as error:
-        raise BadRequestError("the JSON is nested too deeply") from error
--- a/zincwell/platform/_http.py
+++ b/zincwell/platform/_http.py
@@ -109,13 +109,14 @@
         return connection
 
     def _close_idle(self) -> None:
+        # First, since an error below must not end the checks for good.
+        self._idle_check = self._loop.call_later(IDLE_CHECK_INTERVAL_S, self._close_idle)
         now = self._loop.time()
         for address, pool in list(self._pools_by_address.items()):
             pool.close_idle(KEEP_ALIVE_TIMEOUT_S, now=now)
             if pool.is_unused():
                 # Most addresses of workers that left are never called again.
                 del self._pools_by_address[address]
-        self._idle_check = self._loop.call_later(IDLE_CHECK_INTERVAL_S, self._close_idle)
 
 
 async def _acquire_permit(permits: asyncio.Semaphore, deadline: float) -> None:
--- a/zincwell/platform/_peers.py
+++ b/zincwell/platform/_peers.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import TypeVar
 
 import msgspec
 
+from zincwell.decoding import make_decoder
 from zincwell.dispatch import Node
 from zincwell.dispatch._messages import Envelope, Receipt
 from zincwell.dispatch._types import Configuration
 from zincwell.dispatch.ports import PeerCallError, PeerClient
+from zincwell.exceptions import MalformedJsonError
 from zincwell.platform._http import HttpCallError, HttpClient
 from zincwell.platform._server import HttpRequest, HttpResponse
 
@@ -21,6 +24,10 @@
 
 T = TypeVar("T")
 
+_decode_envelope = make_decoder(Envelope)
+_decode_receipt = make_decoder(Receipt)
+_decode_configuration = make_decoder(Configuration)
+
 
 class HttpPeerClient(PeerClient):
     """Sends envelopes and configuration requests to other entries."""
@@ -35,7 +42,7 @@
         """
         data = msgspec.json.encode(envelope)
         raw = await self._call("POST", address, ENVELOPES_PATH, timeout_s, data=data)
-        return _decode(raw, Receipt)
+        return _decode(raw, _decode_receipt)
 
     async def fetch_configuration(self, address: str, *, timeout_s: float) -> Configuration:
         """Return the configuration in force at another entry.
@@ -43,7 +50,7 @@
         :raises PeerCallError: if it has none or there is no valid response within the time.
         """
         raw = await self._call("GET", address, CONFIGURATION_PATH, timeout_s)
-        return _decode(raw, Configuration)
+        return _decode(raw, _decode_configuration)
 
     async def _call(
         self, method: str, address: str, path: str, timeout_s: float, *, data: bytes = b""
@@ -59,10 +66,10 @@
         return response.body
 
 
-def _decode(raw: bytes, response_type: type[T]) -> T:
+def _decode(raw: bytes, decode: Callable[[bytes], T]) -> T:
     try:
-        return msgspec.json.decode(raw, type=response_type)
-    except msgspec.MsgspecError as error:
+        return decode(raw)
+    except MalformedJsonError as error:
         raise PeerCallError(f"malformed response: {error}") from error
 
 
@@ -71,7 +78,6 @@
 
     def __init__(self, *, node: Node) -> None:
         self._node = node
-        self._decoder = msgspec.json.Decoder(Envelope)
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Respond to one request."""
@@ -83,8 +89,8 @@
 
     def _receive_envelope(self, raw: bytes) -> HttpResponse:
         try:
-            envelope = self._decoder.decode(raw)
-        except msgspec.MsgspecError as error:
+            envelope = _decode_envelope(raw)
+        except MalformedJsonError as error:
             return HttpResponse(status=400, body=msgspec.json.encode({"error": str(error)}))
         receipt = self._node.receive(envelope)
         return HttpResponse(body=msgspec.json.encode(receipt))
--- a/zincwell/platform/_server.py
+++ b/zincwell/platform/_server.py
@@ -113,10 +113,11 @@
         )
 
     def _close_idle(self) -> None:
+        # First, since an error below must not end the checks for good.
+        self._idle_check = self._loop.call_later(IDLE_CHECK_INTERVAL_S, self._close_idle)
         for connection in list(self._connections):
             if connection.idle_s() > IDLE_TIMEOUT_S:
                 connection.close()
-        self._idle_check = self._loop.call_later(IDLE_CHECK_INTERVAL_S, self._close_idle)
 
 
 class _Connection(asyncio.Protocol):
@@ -192,7 +193,9 @@
         self._stop_reading()
         self._start_reading()
         self._connections.add(self)
-        self._tasks.spawn(self._process_requests())
+        self._tasks.keep_running(
+            self._process_requests, name="connection", essential=False, on_failure=self.close
+        )
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Unregister the connection and cancel the request in progress."""
--- a/zincwell/platform/_store.py
+++ b/zincwell/platform/_store.py
@@ -6,11 +6,13 @@
 import json
 import logging
 import struct
+from collections.abc import Callable
+from typing import TypeVar
 from urllib.parse import urlencode
 
-import msgspec
 from msgspec import Struct
 
+from zincwell.decoding import convert, make_decoder
 from zincwell.dispatch._types import Configuration, Evacuation, WorkerInfo
 from zincwell.dispatch.ports import (
     RecordsGoneError,
@@ -21,7 +23,7 @@
     StoreUnavailableError,
     Topic,
 )
-from zincwell.exceptions import DocumentError
+from zincwell.exceptions import DocumentError, MalformedJsonError
 from zincwell.platform._http import HttpCallError, HttpClient
 from zincwell.platform._wire import (
     check_json,
@@ -77,6 +79,12 @@
     offset: int
 
 
+T = TypeVar("T")
+
+_decode_append_body = make_decoder(AppendBody, strict=False)
+_decode_newest_body = make_decoder(NewestBody, strict=False)
+
+
 class HttpStore(Store):
     """Accesses the store at an address, ``HOST:PORT``."""
 
@@ -126,7 +134,7 @@
         record = bytes([len(name)]) + name + value
         data = struct.pack(">I", len(record)) + record
         body = await self._call("POST", "/v1/log-append", query, data=data)
-        return _decode(body, AppendBody).offset
+        return _decode(body, _decode_append_body).offset
 
     async def _call(
         self,
@@ -156,10 +164,10 @@
         return response.body
 
 
-def _decode(body: bytes, response_type: type):
+def _decode(body: bytes, decode: Callable[[bytes], T]) -> T:
     try:
-        return msgspec.json.decode(body, type=response_type, strict=False)
-    except msgspec.MsgspecError as error:
+        return decode(body)
+    except MalformedJsonError as error:
         raise StoreUnavailableError(f"malformed response: {error}") from error
 
 
@@ -169,18 +177,18 @@
     :raises StoreUnavailableError: if the page itself is malformed.
     """
     try:
-        return msgspec.json.decode(body, type=NewestBody, strict=False)
-    except msgspec.MsgspecError:
+        return _decode_newest_body(body)
+    except MalformedJsonError:
         # One malformed item fails the decoding of its page, which is therefore repeated by item.
         # The decoder of the standard library accepts keys that are not valid text.
         pass
     try:
         page = json.loads(body.decode(errors="replace"))
         items = page["items"]
-        head = msgspec.convert({**page, "items": []}, type=NewestBody, strict=False)
+        head = convert({**page, "items": []}, NewestBody, strict=False)
         for item in items:
             _append_item(head.items, item)
-    except (msgspec.MsgspecError, KeyError, RecursionError, TypeError, ValueError) as error:
+    except (MalformedJsonError, KeyError, RecursionError, TypeError, ValueError) as error:
         raise StoreUnavailableError(f"malformed response: {error!r}") from error
     if head.more_pages and not head.items:
         raise StoreUnavailableError("malformed response: no valid item to continue after")
@@ -189,9 +197,9 @@
 
 def _append_item(items: list[NewestItem], item: object) -> None:
     try:
-        decoded = msgspec.convert(item, type=NewestItem, strict=False)
+        decoded = convert(item, NewestItem, strict=False)
         decoded.key.encode()
-    except (msgspec.MsgspecError, UnicodeEncodeError) as error:
+    except (MalformedJsonError, UnicodeEncodeError) as error:
         log.error('item_unreadable item=%.80a error="%s"', item, error)
         return
     items.append(decoded)
--- a/zincwell/platform/_wire.py
+++ b/zincwell/platform/_wire.py
@@ -2,21 +2,26 @@
 
 from __future__ import annotations
 
+import math
 import re
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 from msgspec import Meta, Struct
 
+from zincwell.decoding import make_decoder
 from zincwell.dispatch._types import Configuration, JobRequest, Route, Step, TaskId, WorkerInfo
 from zincwell.dispatch.ports import ActiveRun, EndedRun, EndKind, HoldReply
-from zincwell.exceptions import BadRequestError, DocumentError
+from zincwell.exceptions import BadRequestError, DocumentError, MalformedJsonError
 
 JOB_ID = re.compile(r"[0-9a-fA-F]{16}")
 # Larger jobs are rejected before their tasks are created.
 MAX_TASKS = 10_000
 MAX_STEPS = 1_000
 MAX_SPEC_BYTES = 4_000
+# Of a task's demand and estimate, far above what any worker has or any task takes. Sums of larger
+# values overflow.
+MAX_TASK_SIZE = 10**12
 DRAINING = "draining"
 WORKER_STATES = ("ready", DRAINING)
 WORKER_ADDRESS = re.compile(r"[0-9A-Za-z.-]+:[0-9]{1,5}")
@@ -26,6 +31,10 @@
 # Unix time in ms in the year 2286. A record with a later start of its worker would outrank the
 # worker's own records for good.
 MAX_BORN_MS = 10**13
+# Of the times and factors in the configuration; larger values make the objectives overflow.
+MAX_ROUTE_VALUE = 1e12
+# A task's name on the wire: job, occurrence, step and index.
+TASK_NAME = re.compile(r"([^.]*)\.[0-9]+\.([0-9]{1,9})\.([0-9]{1,9})")
 # Stands for bytes that are not valid text.
 REPLACEMENT_CHARACTER = "\ufffd"
 # A longer number of milliseconds is no plausible timeout.
@@ -148,6 +157,13 @@
     ended: list[list] = []
 
 
+_decode_any = make_decoder(Any)
+_decode_job_body = make_decoder(JobBody)
+_decode_configuration_body = make_decoder(ConfigurationBody, strict=False)
+_decode_worker_body = make_decoder(WorkerBody)
+decode_worker_reply = make_decoder(WorkerReplyBody, strict=False)
+
+
 def decode_job(body: bytes, *, job_id: str, route: Route, timeout_ms: int = 0) -> JobRequest:
     """Decode and validate a caller's job.
 
@@ -158,8 +174,8 @@
     if not JOB_ID.fullmatch(job_id):
         raise BadRequestError("id: not 16 hexadecimal digits")
     try:
-        job = msgspec.json.decode(body, type=JobBody)
-    except msgspec.MsgspecError as error:
+        job = _decode_job_body(body)
+    except MalformedJsonError as error:
         raise BadRequestError(str(error)) from error
     _check_supported(job, route)
     if len(job.spec.encode()) > MAX_SPEC_BYTES:
@@ -209,8 +225,8 @@
     if not 0 < step.count <= MAX_TASKS:
         raise BadRequestError(f"steps[{number}].count: not 1 to {MAX_TASKS}")
     sizes = (step.cpu, step.mem_mb, step.gpu, step.estimate_ms, step.anti_affinity)
-    if min(sizes) < 0:
-        raise BadRequestError(f"steps[{number}]: a size is negative")
+    if not 0 <= min(sizes) <= max(sizes) <= MAX_TASK_SIZE:
+        raise BadRequestError(f"steps[{number}]: a size is negative or too large")
     if any(not 0 <= earlier < number for earlier in step.after):
         raise BadRequestError(f"steps[{number}].after: names a step that is not earlier")
     return Step(
@@ -232,9 +248,13 @@
     :raises DocumentError: if a field is invalid; the message names the field.
     """
     try:
-        document = msgspec.json.decode(body, type=ConfigurationBody, strict=False)
-    except msgspec.MsgspecError as error:
+        document = _decode_configuration_body(body)
+    except MalformedJsonError as error:
         raise DocumentError(str(error)) from error
+    for number, route in enumerate(document.routes):
+        # Numbers may be given as text, which may be "inf" or "nan".
+        if not all(abs(value) <= MAX_ROUTE_VALUE for value in (route.slo_ms, route.stretch)):
+            raise DocumentError(f"routes[{number}]: sloMs or stretch is no plausible number")
     return Configuration(
         version=document.version,
         routes=[
@@ -262,8 +282,8 @@
     :raises DocumentError: if it is not.
     """
     try:
-        msgspec.json.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        _decode_any(body)
+    except MalformedJsonError as error:
         raise DocumentError(str(error)) from error
 
 
@@ -276,8 +296,8 @@
     :raises DocumentError: if a field is invalid; the message names the field.
     """
     try:
-        worker = msgspec.json.decode(body, type=WorkerBody)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        worker = _decode_worker_body(body)
+    except MalformedJsonError as error:
         raise DocumentError(str(error)) from error
     if not is_text_key(worker_id):
         raise DocumentError(f"key: not valid text: {worker_id!a}")
@@ -316,11 +336,24 @@
 
 
 def parse_task(name: str) -> TaskId:
-    """Parse a task's name on the wire."""
-    job, _, step, index = name.split(".")
+    """Parse a task's name on the wire.
+
+    :raises ValueError: if it is malformed.
+    """
+    match = TASK_NAME.fullmatch(name)
+    if match is None:
+        raise ValueError(f"not the name of a task: {name!a:.80}")
+    job, step, index = match.groups()
     return TaskId(job, int(step), int(index))
 
 
+def _parse_percent(value: object) -> float:
+    percent = float(value)
+    if not math.isfinite(percent):
+        raise ValueError(f"percent: {percent}")
+    return percent
+
+
 def decode_hold(reply: WorkerReplyBody) -> HoldReply:
     """Decode a worker's response to a hold call: its active runs and the ended ones.
 
@@ -337,7 +370,7 @@
         clock_ms=reply.clock_ms or 0,
         born_ms=reply.born,
         running=[
-            ActiveRun(task=parse_task(row[0]), run=int(row[1]), percent=float(row[3]))
+            ActiveRun(task=parse_task(row[0]), run=int(row[1]), percent=_parse_percent(row[3]))
             for row in reply.running
         ],
         ended=[
--- a/zincwell/platform/_worker.py
+++ b/zincwell/platform/_worker.py
@@ -15,9 +15,14 @@
     WorkerFencedError,
     WorkerReplacedError,
 )
-from zincwell.exceptions import DocumentError
+from zincwell.exceptions import DocumentError, MalformedJsonError
 from zincwell.platform._http import HttpCallError, HttpClient
-from zincwell.platform._wire import WorkerReplyBody, decode_hold, format_task
+from zincwell.platform._wire import (
+    WorkerReplyBody,
+    decode_hold,
+    decode_worker_reply,
+    format_task,
+)
 
 FENCED_REASON = "fence"
 STATUS_BY_REASON = {
@@ -120,6 +125,6 @@
     if not raw:
         return WorkerReplyBody()
     try:
-        return msgspec.json.decode(raw, type=WorkerReplyBody, strict=False)
-    except msgspec.MsgspecError as error:
+        return decode_worker_reply(raw)
+    except MalformedJsonError as error:
         raise WorkerCallError(f"{path}: malformed response: {error}") from error
