Return a job once that is due twice in one review

Callers saw: late answers in place of refusals for the rest of an owner's term. A job that was submitted through two entries, whose times passed between two reviews, was returned twice by pop_unstarted_at_timeout.

The jobs that are due are kept by id.

--- a/tests/test_caller_timeouts.py
+++ b/tests/test_caller_timeouts.py
@@ -181,3 +181,26 @@
     for job in jobs:
         if job.result().verdict is Verdict.REFUSED:
             assert_that(job.result().retry_after_s, GreaterThan(0))
+
+
+async def test_a_job_of_two_entries_that_times_out_for_both_at_once_is_refused_once(world: World):
+    # Guards against a KeyError that ends the owner's review: a job was due twice in one review.
+    await world.open()
+    owner = world.owners()[0]
+    one, other = [name for name in sorted(world.nodes) if name != owner][:2]
+    blocking = [submit(world, one, f"long-{n}", count=2, run_ms=4000) for n in range(6)]
+    await asyncio.sleep(0.2)
+    slo = {"objective_ms": 10_000, "timeout_ms": TIMEOUT_MS}
+    twice = []
+    for number in range(4):
+        for entry in (one, other):
+            twice.append(submit(world, entry, f"job-{number}", run_ms=100, **slo))
+            # Both times pass between two reviews, which are 20 ms apart.
+            await asyncio.sleep(0.003)
+    await finish(twice)
+    assert_that(verdicts(twice), Equals({Verdict.REFUSED}))
+    # The review goes on: a later job is refused as well.
+    later = submit(world, one, "later", run_ms=100, **slo)
+    await finish([later], within_s=2)
+    assert_that(later.result().verdict, Equals(Verdict.REFUSED))
+    await finish(blocking)
--- a/zincwell/dispatch/_job_registry.py
+++ b/zincwell/dispatch/_job_registry.py
@@ -136,14 +136,17 @@
             heapq.heappush(self._timeouts, (answer_by, request.id))
 
     def pop_unstarted_at_timeout(self, now: float) -> list[Job]:
-        """Return the jobs without a started task whose callers stop waiting now."""
-        due = []
+        """Return the jobs without a started task whose callers stop waiting now, each once.
+
+        Each submission of a job has a timeout of its own, and several may pass between two reviews.
+        """
+        due_by_id: dict[str, Job] = {}
         while self._timeouts and self._timeouts[0][0] <= now:
             _, job_id = heapq.heappop(self._timeouts)
             job = self.jobs_by_id.get(job_id)
             if job is not None and not job.started and job.answer_by <= now:
-                due.append(job)
-        return due
+                due_by_id[job_id] = job
+        return list(due_by_id.values())
 
     def end(self, job: Job, outcome: Outcome, *, remember: bool = True) -> None:
         """End a job and report its outcome.
