--- a/Makefile
+++ b/Makefile
@@ -7,9 +7,10 @@
 demo: $(VENV)/.stamp
 	$(BIN)/zincwell demo
 
-# The order of sets decides which way the random days take; a fixed one gives one verdict.
+# The order of sets decides which way the random days take; a fixed one gives one verdict. The tests
+# of a file share ports and processes, so a file stays in one process.
 test: check
-	PYTHONHASHSEED=0 $(BIN)/pytest -q
+	PYTHONHASHSEED=0 $(BIN)/pytest -q -n 5 --dist loadfile
 
 check: $(VENV)/.stamp
 	$(BIN)/black --check --quiet zincwell tests bench proofs
