Move the jobs between cells, the reports of workers and unservable jobs out

What keeps a job in one cell is in _cell_jobs.py now, the reports of workers between owners in _worker_reports.py, and the jobs that can't be served in _unservable_jobs.py.

--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -395,7 +395,7 @@
     count_calls(monkeypatch, _worker_set, "could_ever_fit", scans)
     owner = world.nodes[world.owners()[0]]._owner
     owner._scheduler.place()
-    owner._end_unservable_jobs(asyncio.get_running_loop().time())
+    owner._unservable_jobs.end_due(asyncio.get_running_loop().time())
     assert_that(len(owner._scheduler.queue), GreaterThan(50))
     assert_that(len(scans), LessThan(len(world.workers) + 1))
     for job in jobs:
--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -95,7 +95,7 @@
 
 # The parts of an entry with a loop, each with a method that the loop calls.
 OWNER_STEPS = {
-    "owner": lambda node: (node._owner, "_end_unservable_jobs"),
+    "owner": lambda node: (node._owner._unservable_jobs, "end_due"),
     "heartbeats": lambda node: (node, "_send_heartbeats"),
     "election": lambda node: (node.election, "_maintain_ownership"),
     "worker_list_reading": lambda node: (node, "_update_worker_list_reading"),
--- a/tests/test_unlisted_workers.py
+++ b/tests/test_unlisted_workers.py
@@ -97,7 +97,7 @@
     await world.open(zones="ab", entries=3, workers=3)
     unlist(world, *sorted(world.workers)[:2])
     await asyncio.sleep(LAPSED_LONG_AGO_S)
-    world.nodes[world.owners()[0]]._worker_list_sender.send_due = lambda *args, **kwargs: None
+    world.nodes[world.owners()[0]]._worker_reports.send_due = lambda *args, **kwargs: None
     successor, caller, lost = [n for n in sorted(world.nodes) if n not in world.owners()][:3]
     submit(world, lost, "job", count=2, run_ms=3500)
     await asyncio.sleep(0.2)
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -13,6 +13,7 @@
 from zincwell.dispatch._announcements import Announcements
 from zincwell.dispatch._background import BackgroundTasks
 from zincwell.dispatch._cell_directory import CellDirectory
+from zincwell.dispatch._cell_jobs import CellJobs
 from zincwell.dispatch._cell_reporter import CellReporter
 from zincwell.dispatch._cells import LAYOUT_KEY, OWNER_KEY, Layout, decode_layout
 from zincwell.dispatch._clocks import floor_ms
@@ -46,11 +47,10 @@
     WorkerListSnapshot,
 )
 from zincwell.dispatch._metrics import Metrics
-from zincwell.dispatch._owner import LEASE_EXPIRY_MARGIN_S, Owner, OwnerListener
+from zincwell.dispatch._owner import Owner, OwnerListener
 from zincwell.dispatch._owner_lag import OwnerLagDetector
 from zincwell.dispatch._peers import LinkObserver, PeerLink
-from zincwell.dispatch._pending_jobs import RETRY_AFTER_S, PendingJobTracker
-from zincwell.dispatch._previous_workers import PreviousWorkers
+from zincwell.dispatch._pending_jobs import PendingJobTracker
 from zincwell.dispatch._reachability import ReachabilityMonitor
 from zincwell.dispatch._router import OwnerRouter
 from zincwell.dispatch._topic_follower import TopicFollower
@@ -61,13 +61,10 @@
     Evacuations,
     Limits,
     Outcome,
-    Verdict,
 )
-from zincwell.dispatch._worker_calls import max_lease_s
 from zincwell.dispatch._worker_list import WorkerList
-from zincwell.dispatch._worker_list_sender import WorkerListSender
+from zincwell.dispatch._worker_reports import WorkerReports
 from zincwell.dispatch.decisions import (
-    REPORTS_MISSED_AT_EXPIRY,
     SILENT_OWNER_HAS_ENDED_JOBS_S,
     may_have_left_runs,
 )
@@ -122,8 +119,6 @@
 # are sent to other cells based on reports of up to this age, so the jobs of a burst stay queued
 # in the home cell for as long.
 HEARTBEATS_PER_REPORT = 2
-# Pause before reports that a job waits for, which name all that come meanwhile.
-ANNOUNCE_PAUSE_S = 0.01
 # An owner whose heartbeat is late by more than this stood still, and logs it.
 STOOD_STILL_S = 0.3
 # After a layout change, runs started under the previous layout may be active on any worker for
@@ -191,7 +186,14 @@
         self._elected_at = 0.0
         self._opened_at = 0.0
         self._heartbeat_count = 0
-        self._is_announcing = False
+        self._cell_jobs = CellJobs(
+            cell_directory=self._cell_directory,
+            announcements=self._announcements,
+            reporter=self._reporter,
+            metrics=self._metrics,
+            get_owner=lambda: self._owner,
+            send=lambda entry, message: self._send_to_entries({entry}, message),
+        )
         self._tasks = BackgroundTasks()
 
     def open(self) -> None:
@@ -216,14 +218,11 @@
             on_change=self._on_workers,
             clock=self._clock,
         )
-        self._worker_list_sender = WorkerListSender(
+        self._worker_reports = WorkerReports(
             cell_directory=self._cell_directory,
             directory=self._directory,
             worker_list=self._worker_list,
-        )
-        self._previous_workers = PreviousWorkers(
-            entry_expiry_s=REPORTS_MISSED_AT_EXPIRY * self._limits.report_interval_s,
-            lease_s=max_lease_s(self._limits) + LEASE_EXPIRY_MARGIN_S,
+            limits=self._limits,
             clock=self._clock,
         )
         self._start_reachability_monitoring()
@@ -574,7 +573,7 @@
             clock_s=floor_ms(self._clock()),
             late=self._inbox.has_dropped(envelope),
             evacuations=self.evacuations.state_to_share(),
-            jobs_here=self._find_jobs_here(envelope),
+            jobs_here=self._cell_jobs.find_jobs_here(envelope),
             cancelled=self._directory.undelivered_cancellations(envelope.sender),
         )
 
@@ -619,18 +618,17 @@
             self._cell_directory.note_report(message, delay_s=delay_s)
             if message.jobs is not None:
                 self._cell_directory.note_jobs(message)
-                self._hand_over_jobs(message)
+                self._cell_jobs.hand_over_announced(message)
         elif isinstance(message, WorkerListSnapshot):
             self._worker_list.note_snapshot(message, entry=sender.name, delay_s=delay_s)
-            self._note_worker_report(message, delay_s=delay_s)
+            self._worker_reports.note_report(message, delay_s=delay_s, owner=self._owner)
         elif isinstance(message, LayoutNotice):
             self._follow_layout(message.offset, message.layout)
         elif isinstance(message, OwnerHeartbeat):
             self._handle_heartbeat(message, delay_s)
 
     def _handle_heartbeat(self, heartbeat: OwnerHeartbeat, delay_s: float) -> None:
-        if heartbeat.missing_fence and heartbeat.cell == self._cell_directory.home.name:
-            self._forward_worker_report(heartbeat)
+        self._worker_reports.forward(heartbeat)
         self.election.note_heartbeat(heartbeat)
         if heartbeat.cell != self._cell_directory.home.name:
             return
@@ -659,9 +657,12 @@
             # The sender already follows another owner, or soon will, and submits its jobs there.
             log.info("not_owner job=%s entry=%s cell=%s", message.job.id, sender.name, home)
             return
-        other_cell = self._find_other_cell(message)
+        owner = self._owner
+        other_cell = self._cell_jobs.find_other_cell(owner, message)
         if other_cell is not None:
-            self._redirect(sender.name, message.job.id, other_cell, attempt=message.attempt)
+            self._cell_jobs.redirect(
+                owner, sender.name, message.job.id, other_cell, attempt=message.attempt
+            )
             return
         self._owner.submit(
             message.job,
@@ -677,67 +678,7 @@
         )
         job = self._owner.jobs.jobs_by_id.get(message.job.id)
         if job is not None:
-            self._announcements.note_accepted(job)
-            self._announce_soon()
-
-    def _announce_soon(self) -> None:
-        """Send reports soon if a job waits for its announcement to other cells."""
-        if not self._is_announcing and self._announcements.cells_to_tell():
-            self._is_announcing = True
-            self._loop.call_later(ANNOUNCE_PAUSE_S, self._announce_awaited)
-
-    def _announce_awaited(self) -> None:
-        self._is_announcing = False
-        cells = self._announcements.cells_to_tell()
-        if self._owner is not None and cells:
-            self._reporter.tell(self._owner, cells)
-
-    def _note_announced(self, peer: EntryInfo, report: CellReport, receipt: Receipt) -> None:
-        """Let jobs start that waited for a report to be acknowledged.
-
-        Those that the other cell has itself go there, unless they may have runs here. A receiver
-        that knows of a later owner of its cell, or a new process at its address, speaks for nobody.
-        """
-        is_replaced = receipt.receiver.incarnation != peer.incarnation
-        if is_replaced or receipt.fence > self._cell_directory.fence_of(receipt.cell):
-            return
-        self._announcements.note_delivered(peer.incarnation, report, jobs_there=receipt.jobs_here)
-        if self._owner is None or report.jobs is None:
-            return
-        for job_id in receipt.jobs_here:
-            if self._owner.has_no_run(job_id):
-                self._hand_over(job_id, receipt.cell)
-        if self._announcements.take_held_back():
-            self._owner.on_capacity_available()
-        self._announce_soon()
-
-    def _hand_over_jobs(self, report: CellReport) -> None:
-        """Hand the jobs over that another cell has announced and that have no run here.
-
-        Of two cells without a run, the first by name keeps the job.
-        """
-        home = self._cell_directory.home.name
-        if self._owner is None or report.cell == home:
-            return
-        unstarted = set(report.unstarted)
-        comes_first = report.cell < home
-        for job_id in report.jobs:
-            keeps = job_id in unstarted and not comes_first
-            if self._owner.has_no_run(job_id, not_refused_by=report.cell) and not keeps:
-                self._hand_over(job_id, report.cell)
-
-    def _hand_over(self, job_id: str, cell: str) -> None:
-        attempts = self._owner.jobs.hand_over(self._owner.jobs.jobs_by_id[job_id])
-        for entry, attempt in sorted(attempts.items()):
-            self._redirect(entry, job_id, cell, attempt=attempt)
-
-    def _find_jobs_here(self, envelope: Envelope) -> list[str]:
-        """Return the jobs announced in an envelope that are open here as well."""
-        if self._owner is None:
-            return []
-        jobs_by_id = self._owner.jobs.jobs_by_id
-        reports = [message for message in envelope.messages if isinstance(message, CellReport)]
-        return [name for report in reports for name in report.jobs or () if name in jobs_by_id]
+            self._cell_jobs.note_accepted(job)
 
     def _reject_misrouted(self, sender: EntryInfo, message: Submit) -> None:
         """Drop a job for a cell of another layout, and tell its sender the layout.
@@ -756,43 +697,6 @@
         if sender.name != self.me.name and self._cell_directory.layout_offset >= 0:
             self._directory.link(sender).send_if_idle(self._layout_notice())
 
-    def _find_other_cell(self, message: Submit) -> str | None:
-        """Return the name of another cell that has a job, None if this one is to have it.
-
-        The runs of a job that has moved here are announced by the owners of the workers, which
-        stop them.
-        """
-        if message.moved or self._owner.has_job(message.job.id):
-            return None
-        return self._cell_directory.cell_with_job(message.job.id, refused_by=message.refused_by)
-
-    def _redirect(self, entry: str, job_id: str, cell: str, *, attempt: int) -> None:
-        """Tell an entry that its caller's job is in another cell, by another submission."""
-        log.info("job_elsewhere job=%s entry=%s cell=%s", job_id, entry, cell)
-        outcome = Outcome(
-            verdict=Verdict.UNKNOWN, reason="runs in another cell", retry_after_s=RETRY_AFTER_S
-        )
-        message = JobEnded(
-            job=job_id,
-            outcome=outcome,
-            fence=self._owner.fence,
-            attempt=attempt,
-            running_in=cell,
-        )
-        self._send_to_entries({entry}, message)
-
-    def _end_unannounced_jobs(self) -> None:
-        """End the jobs that the owner of another cell might start without knowing of them."""
-        jobs = self._owner.jobs
-        reason = "not announced to another cell"
-        for job in self._announcements.find_jobs_to_end(jobs.jobs_by_id.values()):
-            self._metrics.count("jobs_unannounced")
-            if not job.started:
-                jobs.refuse(job, reason)
-                continue
-            outcome = Outcome(verdict=Verdict.UNKNOWN, reason=reason, retry_after_s=RETRY_AFTER_S)
-            jobs.end(job, outcome, remember=False)
-
     def _layout_notice(self) -> LayoutNotice:
         directory = self._cell_directory
         return LayoutNotice(layout=directory.layout, offset=directory.layout_offset)
@@ -826,7 +730,7 @@
         for message in messages:
             self._note_delivered(link.peer.name, message)
             if isinstance(message, CellReport):
-                self._note_announced(link.peer, message, receipt)
+                self._cell_jobs.note_announced(link.peer, message, receipt)
         self.evacuations.update_from_peer(receipt.evacuations, entry=receipt.receiver.name)
         if receipt.receiver.incarnation != link.peer.incarnation:
             self._directory.note(receipt.receiver)
@@ -884,10 +788,8 @@
         was_owner = self._owner is not None and self._owner.domain is None
         self._close_owner()
         self._directory.note(owner, named=True)
-        report = self._previous_workers.current_report()
-        if was_owner and report is not None:
-            # Before the jobs. The next owner may have started too late for an earlier report.
-            self._directory.link(owner).send(report)
+        if was_owner:
+            self._worker_reports.send_last(owner)
         self.pending_jobs.note_unsent(
             self._directory.withdraw_jobs(owners=self._router.owner_names())
         )
@@ -902,9 +804,9 @@
         self._metrics.count("elections", f'domain="{domain}"')
         self._owner_lag.begin_term(self._loop.time())
         self._domains.note_elected(was_owner=self._owner is not None)
-        previous_workers = self._previous_workers.workers()
+        previous_workers = self._worker_reports.previous_workers()
         if not domain and (self._owner is None or self._owner.domain is not None):
-            self._previous_workers.begin_term(previous_fence=self.election.previous_fence)
+            self._worker_reports.begin_term(previous_fence=self.election.previous_fence)
         if self._owner is not None and not domain:
             self._owner.promote(fence)
         else:
@@ -924,7 +826,7 @@
                 previous_owner_active_until=(
                     self.election.previous_owner_active_until() if domain else -math.inf
                 ),
-                previous_owner_left_runs=self._may_have_left_runs(),
+                previous_owner_left_runs=self._may_previous_owner_have_left_runs(),
                 clock=self._clock,
             )
             self._owner.evacuate(self.evacuations.domains)
@@ -946,7 +848,7 @@
         self._send_heartbeats(with_reports=True)
         self.pending_jobs.submit_pending(self._cell_directory.home.name)
 
-    def _may_have_left_runs(self) -> bool:
+    def _may_previous_owner_have_left_runs(self) -> bool:
         """Return whether the previous owner may have left runs of jobs that no entry here has.
 
         Their callers were connected to entries that have ended, and may send them again.
@@ -965,9 +867,7 @@
             log.info(
                 "owner_closed fence=%d jobs=%d", self._owner.fence, len(self._owner.jobs.jobs_by_id)
             )
-            report = self._make_worker_report() if self._owner.domain is None else None
-            if report is not None:
-                self._previous_workers.note_report(report, delay_s=0.0)
+            self._worker_reports.end_term(self._owner)
             self._owner.close()
             self._owner = None
             self._update_worker_list_reading()
@@ -1044,54 +944,16 @@
                 self._check_owner_lag(due_at)
                 # Before the heartbeats, which report the unreachable failure domains.
                 self._reachability.end_jobs_of_unreachable_entries(self._owner)
-                self._end_unannounced_jobs()
+                self._cell_jobs.end_unannounced(self._owner)
                 self._send_heartbeats()
                 if self._owner.domain is None:
-                    self._worker_list_sender.send_due(
-                        self._heartbeat_count,
-                        fence=self._owner.fence,
-                        make_report=self._make_worker_report,
-                    )
+                    self._worker_reports.send_due(self._owner, self._heartbeat_count)
             elif self.election.owner is not None:
                 if self.election.silence_s() > PROBE_OTHERS_AFTER_S:
                     self._router.probe_other_owners()
                 if self.election.silence_s() > SUSPECT_AFTER_S:
                     self._reroute_unsent_jobs(self.election.owner)
 
-    def _make_worker_report(self) -> WorkerListSnapshot | None:
-        """Return the list of all workers that this owner uses, for the owner that follows it."""
-        snapshot = self._worker_list.make_snapshot(self._cell_directory.home)
-        if snapshot is None:
-            return None
-        return msgspec.structs.replace(
-            snapshot,
-            fence=self._owner.fence,
-            unlisted=self._owner.unlisted_workers(),
-            complete=self.knows_all_workers(),
-        )
-
-    def _note_worker_report(self, report: WorkerListSnapshot, *, delay_s: float) -> None:
-        """Keep the report of an owner; if it is this one's predecessor, hold its workers."""
-        if report.cell != self._cell_directory.home.name:
-            return
-        is_awaited = self._previous_workers.missing_fence() == report.fence
-        self._previous_workers.note_report(report, delay_s=delay_s)
-        if self._owner is not None and report.fence and is_awaited:
-            self._owner.probe_unlisted_workers([*report.workers, *report.unlisted])
-            self._owner.on_capacity_available()
-
-    def _forward_worker_report(self, heartbeat: OwnerHeartbeat) -> None:
-        """Send a new owner the report of its predecessor, if it lacks that and this entry has it.
-
-        Before the jobs, which this owner could not judge without it.
-        """
-        report = self._previous_workers.take_report_for(
-            heartbeat.fence, previous_fence=heartbeat.missing_fence
-        )
-        if report is not None:
-            self._directory.note(heartbeat.owner, named=True)
-            self._directory.link(heartbeat.owner).send(report)
-
     def _reroute_unsent_jobs(self, owner: EntryInfo) -> None:
         """Reroute to other cells the jobs that were not yet sent to a silent owner.
 
@@ -1125,7 +987,7 @@
             pending=self._owner.jobs.pending_by_route(),
             cell=self._cell_directory.home.name,
             reports=reports,
-            missing_fence=0 if self._owner.domain else self._previous_workers.missing_fence(),
+            missing_fence=0 if self._owner.domain else self._worker_reports.missing_fence(),
         )
         self._home_pending_by_route = heartbeat.pending
         for link in self._directory.idle_links():
@@ -1147,7 +1009,7 @@
 
     def knows_all_workers(self) -> bool:
         """Return whether no worker is unknown on which the previous owner may have runs."""
-        return self._previous_workers.are_all_known(list_read_at=self._worker_list.read_at())
+        return self._worker_reports.are_all_workers_known()
 
     async def _write_liveness_forever(self) -> None:
         """Write the owner's liveness to the store, for entries that its heartbeats don't reach."""
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -33,6 +33,7 @@
     WorkerInfo,
 )
 from zincwell.dispatch._unanswered_orders import UnansweredOrders
+from zincwell.dispatch._unservable_jobs import UnservableJobs
 from zincwell.dispatch._worker_calls import max_lease_s
 from zincwell.dispatch._worker_session import WorkerObserver, WorkerSession
 from zincwell.dispatch._worker_set import WorkerSet
@@ -57,8 +58,6 @@
 # resubmitted job can't be told from a new one, and the runs that the previous owner started for it
 # may be on a worker that answers a few milliseconds after the others.
 STARTUP_DELAY_S = 0.06
-# Retry delay for callers while workers are evacuated. Operators end evacuations by hand.
-EVACUATED_RETRY_S = 5.0
 # The oldest ends of tasks without an open job are forgotten beyond this number.
 MAX_UNCLAIMED_ENDS = 20_000
 # Interval between checks for jobs that can't be served and for unclaimed orphaned runs.
@@ -218,6 +217,13 @@
             start_delay_s=self._start_delay_s,
             clock=perf_counter,
         )
+        self._unservable_jobs = UnservableJobs(
+            jobs=self.jobs,
+            workers=self._workers,
+            overload=self._overload,
+            queue=self._scheduler.queue,
+            metrics=metrics,
+        )
         self._health = WorkerHealthMonitor(
             sessions_by_id=self._workers.sessions_by_id,
             on_capacity_available=self.on_capacity_available,
@@ -793,71 +799,10 @@
             await asyncio.sleep(REVIEW_INTERVAL_S)
             now = self._loop.time()
             self._end_reports.finish_overdue(now)
-            self._end_unservable_jobs(now)
+            self._unservable_jobs.end_due(now)
             self._orphans.stop_due(now)
             awaits_lease_expiry = any(
                 job.may_run_unseen() and job.waiting for job in self.jobs.jobs_by_id.values()
             )
             if awaits_lease_expiry or self._scheduler.starts_blocked:
                 self.on_capacity_available()
-
-    def _end_unservable_jobs(self, now: float) -> None:
-        for job in self.jobs.pop_unstarted_at_timeout(now):
-            self.jobs.refuse(job, "not started within the caller's timeout")
-        for refusal in self._overload.find_jobs_to_refuse(now):
-            job = refusal.job
-            log.info(
-                "job_hopeless job=%s age_ms=%d wait_ms=%.0f run_ms=%.0f slo_ms=%d tasks=%d"
-                " waiting=%d exposed=%s cause=%s timeout_ms=%d retry_ms=%.0f",
-                job.request.id,
-                (now - job.arrived_at) * 1000,
-                refusal.wait_s * 1000,
-                job.estimate_s * 1000,
-                job.slo_s * 1000,
-                job.waiting,
-                len(self._scheduler.queue),
-                job.possibly_started,
-                refusal.cause,
-                job.request.timeout_ms,
-                refusal.retry_after_s * 1000,
-            )
-            self._count_refusal(job, refusal.cause)
-            self.jobs.refuse(job, "no room in time", retry_after_s=refusal.retry_after_s)
-        for job in list(self.jobs.jobs_by_id.values()):
-            if job.waiting and not self._may_ever_fit(job):
-                self._end_unplaceable(job)
-
-    def _end_unplaceable(self, job: Job) -> None:
-        """End a job that no worker of this cell is large enough for.
-
-        A job that has started can't move to another cell, where its runs are not visible. If an
-        evacuation is the reason, the job ends at once, so that its caller can retry elsewhere.
-        Otherwise it keeps waiting for workers that are large enough.
-        """
-        if not self._workers.could_fit_but_for_evacuation(job.request):
-            if not job.started:
-                self._count_refusal(job, "too_large")
-                self.jobs.refuse(job, "no worker is large enough")
-            return
-        reason = "failure domain evacuated"
-        if not job.started:
-            self._count_refusal(job, "evacuated")
-            self.jobs.refuse(job, reason, retry_after_s=EVACUATED_RETRY_S)
-            return
-        outcome = Outcome(verdict=Verdict.UNKNOWN, reason=reason, retry_after_s=EVACUATED_RETRY_S)
-        self.jobs.end(job, outcome, remember=False)
-
-    def _count_refusal(self, job: Job, cause: str) -> None:
-        labels = f'route="{job.request.route}",cause="{cause}"'
-        self._metrics.count("jobs_refused", labels)
-
-    def _may_ever_fit(self, job: Job) -> bool:
-        """Return whether the known workers are large enough for a job.
-
-        Checked once for each job and version of the worker set. Under overload hundreds of jobs
-        wait, and checking hundreds of workers for each of them takes milliseconds.
-        """
-        if job.fit_checked_version == self._workers.version:
-            return True
-        job.fit_checked_version = self._workers.version
-        return self._workers.could_ever_fit(job.request)
