--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -53,6 +53,26 @@
     task.cancel()
 
 
+async def test_a_loop_whose_repair_fails_is_started_again():
+    # Guards against a loop that ends in the code that was to keep it running.
+    supervisor = LoopSupervisor()
+    starts = 0
+
+    async def fail() -> None:
+        nonlocal starts
+        starts += 1
+        raise UnforeseenError
+
+    def fail_to_repair() -> None:
+        raise UnforeseenError
+
+    run = supervisor.keep_running(fail, name="loop", on_failure=fail_to_repair)
+    task = asyncio.ensure_future(run)
+    await asyncio.sleep(0.2)
+    assert_that(starts, Equals(3))
+    task.cancel()
+
+
 @pytest.mark.parametrize("essential", [True, False])
 async def test_a_process_is_not_ready_while_an_essential_loop_keeps_failing(essential: bool):
     # Guards against callers that are sent to a process which no longer does its work, and against
--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -258,8 +258,9 @@
     def may_hide_runs(self) -> bool:
         """Return whether runs of an earlier owner may be active that the worker has not reported.
 
-        Not on a worker that has left the list and has never answered: it was about to lapse when
-        the earlier owner still used it, and the leases of that time have expired.
+        Not on a worker that has left the list and has never answered for so long: the leases of
+        the earlier owner have expired. Whether there may be a stand-in that renews them is not
+        decided here, see `OwnerListener.reaches_all_domains`.
         """
         if self.held or self.replaced:
             return False
--- a/zincwell/supervision.py
+++ b/zincwell/supervision.py
@@ -92,8 +92,7 @@
                     return
                 except Exception:
                     self._note_failure(state)
-                    if on_failure is not None:
-                        on_failure()
+                    _repair(state, on_failure)
                 await asyncio.sleep(state.restart_pause_s())
         finally:
             self._essential_loops.discard(state)
@@ -109,5 +108,15 @@
         )
 
 
+def _repair(state: LoopState, on_failure: Callable[[], None] | None) -> None:
+    if on_failure is None:
+        return
+    try:
+        on_failure()
+    except Exception:
+        # The loop is started again all the same.
+        log.exception("loop_failed loop=%s failures=%d repair=failed", state.name, state.failures)
+
+
 # The loops of a process share its fate, so there is one supervisor for all.
 supervisor = LoopSupervisor()
