--- a/zincwell/dispatch/_previous_workers.py
+++ b/zincwell/dispatch/_previous_workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import math
 from collections.abc import Callable
 
@@ -11,6 +12,11 @@
 from zincwell.dispatch._types import WorkerInfo
 from zincwell.dispatch.decisions import knows_every_worker
 
+log = logging.getLogger("zincwell.workers")
+
+# Logged as the age of a report that was never received.
+MAX_LOGGED_AGE_S = 3600.0
+
 
 class PreviousWorkers:
     """Keeps the newest report of an owner, for the owner that follows it.
@@ -85,6 +91,13 @@
         self._previous_fence = previous_fence
         self._elected_at = self._clock()
         self._listed_at = math.inf
+        log.info(
+            "worker_report previous_fence=%d reported=%s complete=%s age_ms=%d",
+            previous_fence,
+            self._has_report(),
+            self._report is not None and self._report.complete,
+            min(self._elected_at - self._reported_at, MAX_LOGGED_AGE_S) * 1000,
+        )
 
     def missing_fence(self) -> int:
         """Return the fencing token of the previous owner if its report is missing, else 0."""
--- a/zincwell/dispatch/_worker_reports.py
+++ b/zincwell/dispatch/_worker_reports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from collections.abc import Callable
 
 import msgspec
@@ -17,6 +18,8 @@
 from zincwell.dispatch._worker_list_sender import WorkerListSender
 from zincwell.dispatch.decisions import REPORTS_MISSED_AT_EXPIRY
 
+log = logging.getLogger("zincwell.workers")
+
 
 class WorkerReports:
     """Exchanges reports of the workers in use between successive owners of a cell.
@@ -107,6 +110,7 @@
         is_missing = report.fence and self._previous.missing_fence() == report.fence
         self._previous.note_report(report, delay_s=delay_s)
         if owner is not None and is_missing:
+            log.info("worker_report_late fence=%d workers=%d", report.fence, len(report.workers))
             owner.probe_unlisted_workers([*report.workers, *report.unlisted])
             owner.on_capacity_available()
 
