--- a/tests/test_resubmission_between_cells.py
+++ b/tests/test_resubmission_between_cells.py
@@ -274,7 +274,7 @@
 
 
 # Seeds with concurrent runs.
-RESEND_SEEDS = [27]
+RESEND_SEEDS = [27, 36]
 
 
 @pytest.mark.parametrize("seed", sorted({*random_seeds(), *RESEND_SEEDS}))
