--- a/tests/test_supervision.py
+++ b/tests/test_supervision.py
@@ -11,9 +11,9 @@
 
 from tests.dispatch_world import FakeStore, World
 from tests.pool_jobs import finish, other_than, submit, verdicts
+from zincwell._supervision import HEALTHY_AFTER_S, MAX_RESTART_PAUSE_S, LoopSupervisor, supervisor
 from zincwell.dispatch._types import Verdict
 from zincwell.dispatch.ports import Topic
-from zincwell.supervision import HEALTHY_AFTER_S, MAX_RESTART_PAUSE_S, LoopSupervisor, supervisor
 
 pytestmark = pytest.mark.looptime
 
--- a/zincwell/adapters/_platform.py
+++ b/zincwell/adapters/_platform.py
@@ -9,7 +9,7 @@
 import msgspec
 from msgspec import Struct
 
-from zincwell.decoding import make_decoder
+from zincwell._decoding import make_decoder
 from zincwell.exceptions import (
     DirectoryUnavailableError,
     LogUnavailableError,
--- a/zincwell/adapters/_worker.py
+++ b/zincwell/adapters/_worker.py
@@ -9,8 +9,8 @@
 import msgspec
 from msgspec import Struct
 
+from zincwell._decoding import make_decoder
 from zincwell.adapters._platform import HTTP_OK, NETWORK_ERRORS
-from zincwell.decoding import make_decoder
 from zincwell.exceptions import (
     MalformedJsonError,
     WorkerConnectionError,
--- a/zincwell/admin.py
+++ b/zincwell/admin.py
@@ -9,9 +9,9 @@
 import msgspec
 
 from zincwell._call_errors import describe_call_error
+from zincwell._decoding import make_decoder
 from zincwell.adapters import make_client_tls
 from zincwell.core._publishing import Proposal
-from zincwell.decoding import make_decoder
 from zincwell.exceptions import AdminError, MalformedJsonError, OpenChangeError
 from zincwell.listeners import CheckReply, ConfigReply, PublishReply
 from zincwell.models import Answer
--- a/zincwell/core/_dispatch.py
+++ b/zincwell/core/_dispatch.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from zincwell._supervision import supervisor
 from zincwell.core._jobs import SPILLED_TENANT, Job, Task, TaskState, make_answer
 from zincwell.core._ordering import Queue, make_queue
 from zincwell.core._pool import Pool
@@ -19,7 +20,6 @@
 from zincwell.models import Answer, Outcome
 from zincwell.ports import Clock, EventKind, Vm, WorkerEvent, WorkerTransport
 from zincwell.settings import TimingSettings
-from zincwell.supervision import supervisor
 
 RUN_LIMIT_CHECK_PERIOD_S = 0.1
 SPILLED_WEIGHT = 0.1
--- a/zincwell/core/_peers.py
+++ b/zincwell/core/_peers.py
@@ -11,6 +11,7 @@
 import msgspec
 from msgspec import Struct
 
+from zincwell._decoding import make_decoder
 from zincwell.core._configuration import Configuration
 from zincwell.core._dispatch import Dispatcher
 from zincwell.core._membership import Membership, Seat
@@ -25,7 +26,6 @@
 )
 from zincwell.core._seat import SeatKeeper
 from zincwell.core._slot_shares import NO_LENDING, Shares
-from zincwell.decoding import make_decoder
 from zincwell.exceptions import MalformedJsonError, PeerUnavailableError
 from zincwell.ports import Clock, PeerTransport
 from zincwell.settings import TimingSettings
--- a/zincwell/core/_spill.py
+++ b/zincwell/core/_spill.py
@@ -16,13 +16,13 @@
 
 import msgspec
 
+from zincwell._supervision import supervisor
 from zincwell.core._dispatch import Dispatcher
 from zincwell.core._membership import Membership, Seat
 from zincwell.core._pool import Pool
 from zincwell.core._worker import Worker
 from zincwell.ports import Clock, Vm, WorkerTransport
 from zincwell.settings import TimingSettings
-from zincwell.supervision import supervisor
 
 CHECK_INTERVAL_S = 0.03
 LENDER_LEASE_S = 0.8
--- a/zincwell/dispatch/_background.py
+++ b/zincwell/dispatch/_background.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
-from zincwell.supervision import supervisor
+from zincwell._supervision import supervisor
 
 log = logging.getLogger("zincwell.tasks")
 
--- a/zincwell/dispatch/_cells.py
+++ b/zincwell/dispatch/_cells.py
@@ -12,7 +12,7 @@
 
 from msgspec import Struct
 
-from zincwell.decoding import make_decoder
+from zincwell._decoding import make_decoder
 from zincwell.dispatch._types import EntryInfo
 from zincwell.dispatch.decisions import CellShape
 from zincwell.exceptions import MalformedJsonError
--- a/zincwell/dispatch/_election.py
+++ b/zincwell/dispatch/_election.py
@@ -20,7 +20,7 @@
 
 import msgspec
 
-from zincwell.decoding import make_decoder
+from zincwell._decoding import make_decoder
 from zincwell.dispatch._background import BackgroundTasks
 from zincwell.dispatch._cells import LAYOUT_KEY, WHOLE_POOL_CELL, Cell
 from zincwell.dispatch._messages import OwnerHeartbeat, Receipt
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -9,7 +9,8 @@
 
 import msgspec
 
-from zincwell.decoding import make_decoder
+from zincwell._decoding import make_decoder
+from zincwell._supervision import supervisor
 from zincwell.dispatch._announcements import Announcements
 from zincwell.dispatch._background import BackgroundTasks
 from zincwell.dispatch._cell_directory import CellDirectory
@@ -77,7 +78,6 @@
     WorkerClient,
 )
 from zincwell.exceptions import MalformedJsonError
-from zincwell.supervision import supervisor
 
 log = logging.getLogger("zincwell.node")
 
--- a/zincwell/entry.py
+++ b/zincwell/entry.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 
+from zincwell._supervision import supervisor
 from zincwell.adapters import (
     HttpLogService,
     HttpPeerTransport,
@@ -43,7 +44,6 @@
 from zincwell.ports import Clock, Vm
 from zincwell.settings import Settings, read_secret
 from zincwell.status import Status, describe
-from zincwell.supervision import supervisor
 
 PEER_KEEPALIVE_S = 10.0
 WILDCARD_ADDRESS = "0.0.0.0"
--- a/zincwell/listeners/_drafts.py
+++ b/zincwell/listeners/_drafts.py
@@ -11,8 +11,8 @@
 import tomli_w
 from msgspec import Struct
 
+from zincwell._decoding import make_decoder
 from zincwell.core._configuration import Configuration, make_patch, merge_patch
-from zincwell.decoding import make_decoder
 from zincwell.exceptions import BadRequestError, MalformedJsonError
 
 Path = tuple[str, ...]
--- a/zincwell/listeners/_operators.py
+++ b/zincwell/listeners/_operators.py
@@ -10,9 +10,9 @@
 from result import Err
 from sanic import HTTPResponse, Request
 
+from zincwell._decoding import make_decoder
 from zincwell.core._configuration import Verdict, make_patch
 from zincwell.core._publishing import Proposal
-from zincwell.decoding import make_decoder
 from zincwell.document import parse_document
 from zincwell.exceptions import DocumentError, MalformedJsonError
 from zincwell.listeners._console import ROOT, Console
--- a/zincwell/listeners/_peers.py
+++ b/zincwell/listeners/_peers.py
@@ -7,6 +7,7 @@
 
 from sanic import HTTPResponse, Request
 
+from zincwell._decoding import make_decoder
 from zincwell.adapters._peer import KEY_HEADER
 from zincwell.core._messages import (
     AttachCall,
@@ -15,7 +16,6 @@
     HandoverCall,
     Heartbeat,
 )
-from zincwell.decoding import make_decoder
 from zincwell.exceptions import MalformedJsonError
 from zincwell.listeners._listener import Listener, reply
 from zincwell.listeners._spill_routes import add_spill_routes
--- a/zincwell/listeners/_spill_routes.py
+++ b/zincwell/listeners/_spill_routes.py
@@ -15,8 +15,8 @@
 import msgspec
 from sanic import HTTPResponse, Request, Sanic
 
+from zincwell._decoding import make_decoder
 from zincwell.adapters._worker import LeaseCall, StartCall, StopCall, WatchCall
-from zincwell.decoding import make_decoder
 from zincwell.listeners._listener import reply
 from zincwell.models import Answer
 from zincwell.ports import EventKind, WorkerEvent
--- a/zincwell/models.py
+++ b/zincwell/models.py
@@ -9,7 +9,7 @@
 import msgspec
 from msgspec import Meta, Raw, Struct
 
-from zincwell.decoding import make_decoder
+from zincwell._decoding import make_decoder
 from zincwell.exceptions import BadRequestError, MalformedJsonError
 
 T = TypeVar("T")
--- a/zincwell/platform/_peers.py
+++ b/zincwell/platform/_peers.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from zincwell.decoding import make_decoder
+from zincwell._decoding import make_decoder
 from zincwell.dispatch import Node
 from zincwell.dispatch._messages import Envelope, Receipt
 from zincwell.dispatch._types import Configuration
--- a/zincwell/platform/_store.py
+++ b/zincwell/platform/_store.py
@@ -12,7 +12,7 @@
 
 from msgspec import Struct
 
-from zincwell.decoding import convert, make_decoder
+from zincwell._decoding import convert, make_decoder
 from zincwell.dispatch._types import Configuration, Evacuation, WorkerInfo
 from zincwell.dispatch.ports import (
     RecordsGoneError,
--- a/zincwell/platform/_wire.py
+++ b/zincwell/platform/_wire.py
@@ -9,7 +9,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from zincwell.decoding import make_decoder
+from zincwell._decoding import make_decoder
 from zincwell.dispatch._types import Configuration, JobRequest, Route, Step, TaskId, WorkerInfo
 from zincwell.dispatch.ports import ActiveRun, EndedRun, EndKind, HoldReply
 from zincwell.exceptions import BadRequestError, DocumentError, MalformedJsonError
