Log each start with its run and worker, and how the run before it ended

runs_started lists the runs of one placement of a job (32 at most in a line, one line for each job and placement); run_ended has each end without success, the run number and the cause; run_repeated names a second start together with the end of the run before; earlier_runs_excluded says once for each job why runs of an earlier owner are ruled out. No decision changed.

--- a/zincwell/dispatch/_jobs.py
+++ b/zincwell/dispatch/_jobs.py
@@ -7,6 +7,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
+from zincwell.dispatch._runs import RunEnd
 from zincwell.dispatch._types import JobRequest, Outcome, Step, TaskId, WorkerInfo
 from zincwell.dispatch.decisions import JobTimes
 
@@ -30,6 +31,7 @@
     :param failures: number of failed runs.
     :param runs: number of runs that this owner has ordered.
     :param moves: how often the task was moved away from a slow or stalled worker.
+    :param previous: the end of its latest run that did not succeed, or None.
     :param avoided_workers: ids of workers that are chosen only if no other fits.
     """
 
@@ -38,6 +40,7 @@
     failures: int = 0
     runs: int = 0
     moves: int = 0
+    previous: RunEnd | None = None
     avoided_workers: set[str] = field(default_factory=set)
 
 
@@ -66,6 +69,7 @@
         that a previous owner may have it from another entry.
     :param possibly_started: whether a previous owner may have started tasks of it.
     :param moved: whether that owner's cell was dissolved by a new layout.
+    :param earlier_runs_excluded: whether it is known since that no task of it runs unseen.
     :param accepted_at: when this owner received it, on this entry's clock.
     :param waiting_entries: names of the entries whose callers wait for the outcome, each with the
         time of its last submission, on this entry's clock.
@@ -99,6 +103,7 @@
     refused_by: frozenset[str] = frozenset()
     read_late: bool = False
     moved: bool = False
+    earlier_runs_excluded: bool = False
     waiting_entries: dict[str, float] = field(default_factory=dict)
     attempts_by_entry: dict[str, int] = field(default_factory=dict)
     requested_at: float = -math.inf
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -22,7 +22,7 @@
 from zincwell.dispatch._overload import OverloadControl
 from zincwell.dispatch._placement import could_ever_fit
 from zincwell.dispatch._run_times import JobRunTimeEstimator
-from zincwell.dispatch._runs import Run, RunIndex, RunOutcome
+from zincwell.dispatch._runs import EndCause, Run, RunEnd, RunIndex, RunOutcome
 from zincwell.dispatch._scheduler import Scheduler
 from zincwell.dispatch._types import (
     JobRequest,
@@ -351,7 +351,23 @@
         be on workers of any cell, so only the leases count for it. Another cell may run the job as
         well if its caller has sent it there, too.
         """
-        return self._start_delay_s(job, now) > 0 or not self._listener.may_start(job)
+        if self._start_delay_s(job, now) > 0 or not self._listener.may_start(job):
+            return True
+        self._note_earlier_runs_excluded(job, now)
+        return False
+
+    def _note_earlier_runs_excluded(self, job: Job, now: float) -> None:
+        if job.earlier_runs_excluded or not job.may_run_unseen():
+            return
+        job.earlier_runs_excluded = True
+        seen = not job.moved and self._sees_all_runs(now)
+        log.info(
+            "earlier_runs_excluded job=%s fence=%d by=%s waited_ms=%d",
+            job.request.id,
+            self.fence,
+            "all_workers_held" if seen else "leases_expired",
+            (now - job.accepted_at) * 1000,
+        )
 
     def _may_miss_runs(self) -> bool:
         """Return whether runs of the previous owner may be active on workers unknown here.
@@ -634,7 +650,9 @@
         """Index a run that was ordered or adopted on a worker."""
         self._runs.add(session, run)
 
-    def on_run_ended(self, session: WorkerSession, run: Run, outcome: RunOutcome) -> None:
+    def on_run_ended(
+        self, session: WorkerSession, run: Run, outcome: RunOutcome, cause: EndCause
+    ) -> None:
         """Complete, retry or fail the task of a run that has ended on a worker."""
         self._runs.discard(run)
         self.on_capacity_available()
@@ -652,15 +670,19 @@
             job.mark_done(task)
             self._report_ends(job, set(job.waiting_entries), [task.id])
             return
-        if outcome is not RunOutcome.NOT_STARTED:
-            log.info(
-                "run_ended job=%s task=%s worker=%s fate=%s failures=%d",
-                run.task.job,
-                run.task,
-                session.info.id,
-                outcome.name,
-                task.failures,
-            )
+        log.info(
+            "run_ended job=%s task=%s run=%d worker=%s fate=%s cause=%s failures=%d",
+            run.task.job,
+            run.task,
+            run.number,
+            session.info.id,
+            outcome.name,
+            cause.name,
+            task.failures,
+        )
+        task.previous = RunEnd(
+            number=run.number, worker_id=session.info.id, outcome=outcome, cause=cause
+        )
         if outcome is RunOutcome.NOT_STARTED:
             # Prefer other workers, since this one may lose the next start order as well.
             task.avoided_workers.add(session.info.id)
--- a/zincwell/dispatch/_runs.py
+++ b/zincwell/dispatch/_runs.py
@@ -36,6 +36,39 @@
     NOT_STARTED = enum.auto()
 
 
+class EndCause(enum.Enum):
+    """From what an owner knows that a run has ended, or never begins.
+
+    ``REPORTED``: the worker has listed its end. ``REFUSED``: the worker has refused its start
+    order. ``FENCED``: the same, under a fencing token that is too low. ``NOT_LISTED``: it was
+    confirmed, and a later list of the worker does not name it. ``NEVER_LISTED``: it was not, and
+    the worker refuses its order from now on. ``LEASES_EXPIRED``: the worker is silent, and no lease
+    can be in force. ``REPLACED``: another process has taken the worker's address.
+    """
+
+    REPORTED = enum.auto()
+    REFUSED = enum.auto()
+    FENCED = enum.auto()
+    NOT_LISTED = enum.auto()
+    NEVER_LISTED = enum.auto()
+    LEASES_EXPIRED = enum.auto()
+    REPLACED = enum.auto()
+
+
+@dataclass(slots=True, frozen=True, kw_only=True)
+class RunEnd:
+    """How a run of a task ended.
+
+    :param number: number of the run.
+    :param worker_id: worker to which it was ordered.
+    """
+
+    number: int
+    worker_id: str
+    outcome: RunOutcome
+    cause: EndCause
+
+
 @dataclass(slots=True, kw_only=True, eq=False)
 class Run:
     """One run of a task on a worker.
--- a/zincwell/dispatch/_scheduler.py
+++ b/zincwell/dispatch/_scheduler.py
@@ -22,6 +22,9 @@
 
 log = logging.getLogger("zincwell.owner")
 
+# Longest list of runs in one line of the log.
+MAX_LOGGED_RUNS = 32
+
 
 class Scheduler:
     """Starts tasks in queue order on workers with free capacity.
@@ -66,6 +69,8 @@
         self._placement_requested = False
         self._retry_scheduled = False
         self._placement_by_service: dict[str, ServicePlacement] = {}
+        # Runs of the present job that this placement has started, as worker id and run.
+        self._started: list[tuple[str, Run]] = []
         self._loop = loop or asyncio.get_running_loop()
 
     def request_placement(self) -> None:
@@ -110,6 +115,7 @@
                 self._place_job_by_objective(job, workers, now)
             else:
                 self._place_job(job, workers, now)
+            self._log_starts(job)
             if not job.waiting:
                 self.queue.discard(job)
             else:
@@ -234,5 +240,32 @@
                 worker_list_age_s * 1000,
                 self.queue.is_deferred(job),
             )
+        if task.previous is not None:
+            log.info(
+                "run_repeated job=%s task=%s run=%d worker=%s previous_run=%d previous_worker=%s"
+                " previous_fate=%s previous_cause=%s",
+                job.request.id,
+                task.id,
+                run.number,
+                session.info.id,
+                task.previous.number,
+                task.previous.worker_id,
+                task.previous.outcome.name,
+                task.previous.cause.name,
+            )
+        self._started.append((session.info.id, run))
         job.mark_running(task)
         session.start(run, spec=job.request.spec)
+
+    def _log_starts(self, job: Job) -> None:
+        """Log the runs that were started for a job in one line, so that large jobs fit the log."""
+        started, self._started = self._started, []
+        if not started:
+            return
+        shown = started[:MAX_LOGGED_RUNS]
+        log.info(
+            "runs_started job=%s runs=%s more=%d",
+            job.request.id,
+            ",".join(f"{run.task.step}.{run.task.index}/{run.number}@{id}" for id, run in shown),
+            len(started) - len(shown),
+        )
--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -10,7 +10,7 @@
 
 from zincwell.dispatch._background import BackgroundTasks
 from zincwell.dispatch._end_reports import EndAcknowledgements
-from zincwell.dispatch._runs import Run, RunOutcome
+from zincwell.dispatch._runs import EndCause, Run, RunOutcome
 from zincwell.dispatch._types import Limits, TaskId, WorkerInfo
 from zincwell.dispatch._unanswered_orders import MAX_ORDER_DELAY_S, SentOrder, UnansweredOrders
 from zincwell.dispatch._worker_calls import HOLD_WAIT_S, WorkerCalls, WorkerRestartedError
@@ -76,7 +76,9 @@
         """Record a run that was ordered or adopted."""
 
     @abc.abstractmethod
-    def on_run_ended(self, session: WorkerSession, run: Run, outcome: RunOutcome) -> None:
+    def on_run_ended(
+        self, session: WorkerSession, run: Run, outcome: RunOutcome, cause: EndCause
+    ) -> None:
         """Handle the end of a run on the worker."""
 
     @abc.abstractmethod
@@ -431,7 +433,7 @@
         except WorkerFencedError:
             self._note_answered(order)
             if run.confirmed_at is None:
-                self._remove_run(run, RunOutcome.NOT_STARTED)
+                self._remove_run(run, RunOutcome.NOT_STARTED, EndCause.FENCED)
             self._handle_fenced()
             return
         except WorkerReplacedError:
@@ -596,9 +598,9 @@
             self._loop.call_later(pause_s, self._observer.on_capacity_available)
         if status is StartStatus.INVALID:
             self._unanswered_orders.discard_task(run.task)
-            self._remove_run(run, RunOutcome.FAILED)
+            self._remove_run(run, RunOutcome.FAILED, EndCause.REFUSED)
         elif not self._unanswered_orders.may_start(run.task):
-            self._remove_run(run, RunOutcome.NOT_STARTED)
+            self._remove_run(run, RunOutcome.NOT_STARTED, EndCause.REFUSED)
 
     async def _stop(self, task: TaskId, number: int) -> bool:
         """Send a stop order; return whether the worker has answered it."""
@@ -776,12 +778,12 @@
         execute an earlier copy of its order.
         """
         if run.confirmed_at is None:
-            self._remove_run(run, RunOutcome.NOT_STARTED)
+            self._remove_run(run, RunOutcome.NOT_STARTED, EndCause.NEVER_LISTED)
         elif run.carried and not run.stopping and self._unanswered_orders.may_start(run.task):
             run.confirmed_at = None
             self._schedule_start_check(run)
         else:
-            self._remove_run(run, RunOutcome.LOST)
+            self._remove_run(run, RunOutcome.LOST, EndCause.NOT_LISTED)
 
     def _process_end(self, row: EndedRun) -> None:
         self._ends.processed = row.number
@@ -790,7 +792,7 @@
         if run is None or run.number != row.run:
             self._observer.on_orphaned_run_ended(row.task, row.kind)
         else:
-            self._remove_run(run, _outcome_of(row.kind))
+            self._remove_run(run, _outcome_of(row.kind), EndCause.REPORTED)
         if row.kind is EndKind.DONE:
             release = functools.partial(self._release_end, row.number)
             if self._observer.call_when_end_is_known(row.task, release):
@@ -857,7 +859,7 @@
         self._used_memory += run.memory_mb
         self._used_gpu += run.gpu
 
-    def _remove_run(self, run: Run, outcome: RunOutcome) -> None:
+    def _remove_run(self, run: Run, outcome: RunOutcome, cause: EndCause) -> None:
         if self.runs.get(run.task) is not run:
             return
         del self.runs[run.task]
@@ -865,7 +867,7 @@
         self._used_cpu -= run.cpu
         self._used_memory -= run.memory_mb
         self._used_gpu -= run.gpu
-        self._observer.on_run_ended(self, run, outcome)
+        self._observer.on_run_ended(self, run, outcome, cause)
 
     def _abandon_expired_runs(self) -> None:
         """Count the runs as lost whose leases have expired and whose orders can't be executed.
@@ -880,13 +882,13 @@
         if expired:
             log.warning("lease_lapsed worker=%s runs=%d", self.info.id, len(expired))
         for run in expired:
-            self._remove_run(run, RunOutcome.LOST)
+            self._remove_run(run, RunOutcome.LOST, EndCause.LEASES_EXPIRED)
 
     def _abandon_runs(self) -> None:
         """Count all runs as lost, since another worker has taken the address."""
         self.orphaned_runs.clear()
         for run in list(self.runs.values()):
-            self._remove_run(run, RunOutcome.LOST)
+            self._remove_run(run, RunOutcome.LOST, EndCause.REPLACED)
 
     def _handle_replaced(self) -> None:
         if not self.silent:
