Decide in one module what rules out the runs of an earlier owner

The wait uses max_lease_s like the other places that compute it. The line earlier_runs_excluded no longer repeats the fencing token, which job_taken has.

--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -11,7 +11,7 @@
 from time import perf_counter
 
 from zincwell.dispatch._background import BackgroundTasks
-from zincwell.dispatch._clocks import MAX_CLOCK_DRIFT_RATE
+from zincwell.dispatch._earlier_runs import EarlierRuns
 from zincwell.dispatch._end_reports import EndReports
 from zincwell.dispatch._health import WorkerHealthMonitor
 from zincwell.dispatch._job_registry import JobRegistry
@@ -51,9 +51,6 @@
 # Run numbers available to one owner for one task. The owner's fencing token supplies the high-order
 # part, so run numbers increase from one owner to the next.
 RUNS_PER_FENCE = 64
-# Added to the time by which every lease that a previous owner requested must have expired. Until
-# then a new owner starts no task that may still be running on a worker it can't reach.
-LEASE_EXPIRY_MARGIN_S = 0.05
 # A new owner starts no tasks for this long, unless all its workers report their runs earlier. A
 # resubmitted job can't be told from a new one, and the runs that the previous owner started for it
 # may be on a worker that answers a few milliseconds after the others.
@@ -64,14 +61,6 @@
 REVIEW_INTERVAL_S = 0.02
 
 
-@dataclass(slots=True, frozen=True, kw_only=True)
-class RunVisibility:
-    """Whether all runs were visible to the owner at a time of the event loop's clock."""
-
-    at: float = -1.0
-    complete: bool = False
-
-
 @dataclass(slots=True, frozen=True, kw_only=True)
 class CapacityStatus:
     """Free capacity and backlog of an owner's workers.
@@ -163,8 +152,6 @@
         previous_owner_left_runs: bool = False,
         clock: Callable[[], float] | None = None,
     ) -> None:
-        self._previous_owner_active_until = previous_owner_active_until
-        self._previous_owner_left_runs = previous_owner_left_runs
         self._metrics = metrics
         self._cores = cores
         self._cell = cell
@@ -197,7 +184,15 @@
         self._orphans = OrphanedRunStopper(
             sessions_by_id=self._workers.sessions_by_id, is_cancelled=self.jobs.is_cancelled
         )
-        self._run_visibility = RunVisibility()
+        self._earlier_runs = EarlierRuns(
+            workers=self._workers,
+            limits=limits,
+            reaches_all_domains=listener.reaches_all_domains,
+            knows_all_workers=listener.knows_all_workers,
+            stands_in=domain is not None,
+            previous_owner_active_until=previous_owner_active_until,
+            previous_owner_left_runs=previous_owner_left_runs,
+        )
         self._runs = RunIndex()
         self._run_times = JobRunTimeEstimator()
         self._scheduler = Scheduler(
@@ -214,7 +209,7 @@
             queue=self._scheduler.queue,
             sessions_by_id=self._workers.sessions_by_id,
             run_times=self._run_times,
-            start_delay_s=self._start_delay_s,
+            start_delay_s=self._earlier_runs.start_delay_s,
             clock=perf_counter,
         )
         self._unservable_jobs = UnservableJobs(
@@ -250,6 +245,7 @@
         """
         self.fence = fence
         self.domain = None
+        self._earlier_runs.stands_in = False
         self._renew_only_adopted = False
         self._workers.raise_fence(fence)
         self.resume()
@@ -322,73 +318,16 @@
             return False
         return now - self._opened_at >= STARTUP_DELAY_S or self._workers.all_probed()
 
-    def _sees_all_runs(self, now: float) -> bool:
-        """Return whether every run in the cell has been reported by its worker.
-
-        The list entries of workers in a partitioned failure domain expire, so while a domain is
-        unreachable there may be workers that are not listed. Those of workers that reach the
-        entries but not the store expire as well. The result is cached for one time of the event
-        loop, since hundreds of jobs ask for it right after a take-over.
-        """
-        if self._run_visibility.at != now:
-            complete = (
-                self.domain is None
-                and self._listener.reaches_all_domains()
-                and self._listener.knows_all_workers()
-            )
-            self._run_visibility = RunVisibility(
-                at=now, complete=complete and self._workers.all_held()
-            )
-        return self._run_visibility.complete
-
     def _may_run_already(self, job: Job, now: float) -> bool:
         """Return whether tasks of the job may be running without this owner knowing.
 
-        A job that a previous owner accepted may be running on a worker that does not answer, and
-        starting its tasks again would run them twice. This is ruled out once all workers have
-        reported their runs, or once every lease that the previous owner can have requested has
-        expired since the job was submitted here. Runs of a job that has moved from another cell may
-        be on workers of any cell, so only the leases count for it. Another cell may run the job as
-        well if its caller has sent it there, too.
+        Under an earlier owner, or in another cell if its caller has sent it there, too.
         """
-        if self._start_delay_s(job, now) > 0 or not self._listener.may_start(job):
+        if self._earlier_runs.start_delay_s(job, now) > 0 or not self._listener.may_start(job):
             return True
-        self._note_earlier_runs_excluded(job, now)
+        self._earlier_runs.note_excluded(job)
         return False
 
-    def _note_earlier_runs_excluded(self, job: Job, now: float) -> None:
-        if job.earlier_runs_excluded or not job.may_run_unseen():
-            return
-        job.earlier_runs_excluded = True
-        seen = not job.moved and self._sees_all_runs(now)
-        log.info(
-            "earlier_runs_excluded job=%s fence=%d by=%s waited_ms=%d",
-            job.request.id,
-            self.fence,
-            "all_workers_held" if seen else "leases_expired",
-            (now - job.accepted_at) * 1000,
-        )
-
-    def _may_miss_runs(self) -> bool:
-        """Return whether runs of the previous owner may be active on workers unknown here.
-
-        Then a job may have such runs although its entry has never submitted it before: its caller
-        may have sent it through another entry, which is gone. A stand-in takes over only workers of
-        its own domain, from an owner that has ended the jobs of that domain.
-        """
-        if self.domain is not None or not self._previous_owner_left_runs:
-            return False
-        return not self._listener.knows_all_workers()
-
-    def _start_delay_s(self, job: Job, now: float) -> float:
-        """Return the seconds until no run of an owner before can exist; see `_may_run_already`."""
-        if not job.may_run_unseen() or (not job.moved and self._sees_all_runs(now)):
-            return 0.0
-        lease_s = self._limits.max_lease_s * (1 + MAX_CLOCK_DRIFT_RATE)
-        requested_at = max(job.accepted_at, self._previous_owner_active_until)
-        expired_at = requested_at + lease_s + self._limits.thaw_slack_s + LEASE_EXPIRY_MARGIN_S
-        return max(expired_at - now, 0.0)
-
     # -- jobs -------------------------------------------------------------------------------
 
     def submit(
@@ -423,7 +362,7 @@
             request,
             entry=entry,
             age_s=age_s,
-            possibly_started=possibly_started or self._may_miss_runs(),
+            possibly_started=possibly_started or self._earlier_runs.may_miss_runs(),
             moved=moved,
             delay_s=delay_s,
             unsure_s=unsure_s,
--- a/zincwell/dispatch/_worker_reports.py
+++ b/zincwell/dispatch/_worker_reports.py
@@ -9,8 +9,9 @@
 
 from zincwell.dispatch._cell_directory import CellDirectory
 from zincwell.dispatch._directory import EntryDirectory
+from zincwell.dispatch._earlier_runs import LEASE_EXPIRY_MARGIN_S
 from zincwell.dispatch._messages import OwnerHeartbeat, WorkerListSnapshot
-from zincwell.dispatch._owner import LEASE_EXPIRY_MARGIN_S, Owner
+from zincwell.dispatch._owner import Owner
 from zincwell.dispatch._previous_workers import PreviousWorkers
 from zincwell.dispatch._types import EntryInfo, Limits, WorkerInfo
 from zincwell.dispatch._worker_calls import max_lease_s
