Hold a resent job until all workers have shown their runs

Callers had a task that ran twice at once after the loss of their entry and then of the owner: the owner goes on with the job of a lost entry and renews its leases up to its own end. The caller sends the job again 1.3 s after it lost its entry. Its new owner has never heard of the job from this entry, knows all workers by the report, and took a worker that does not answer for one that has nothing to show. The excuse was a margin, 1.3 s against a lease of 1 s, counted from the wrong event.

If entries were lost shortly before, a new owner now starts a job that may be such a resend only when no worker is unknown and each has shown its runs, or when no lease of the term before can be in force, 1.37 s after its election. Both exclude the earlier run; where all workers answer nothing waits longer. A refusal of such a job says unknown, as it did for unknown workers. A stand-in that becomes the owner of all asks anew.

--- a/zincwell/dispatch/_earlier_runs.py
+++ b/zincwell/dispatch/_earlier_runs.py
@@ -42,8 +42,8 @@
     :param stands_in: whether the owner has the workers of one failure domain only.
     :param previous_owner_active_until: event loop time until which an owner that is cut off from a
         stand-in may request leases.
-    :param previous_owner_left_runs: whether runs of the previous owner may be active at the begin
-        of the term.
+    :param previous_owner_left_runs: whether the previous owner may have left runs of jobs that no
+        entry has, as their entries have ended. Their callers may send them again.
     """
 
     def __init__(
@@ -63,9 +63,20 @@
         self._reaches_all_domains = reaches_all_domains
         self._knows_all_workers = knows_all_workers
         self._previous_owner_active_until = previous_owner_active_until
-        self._previous_owner_left_runs = previous_owner_left_runs
         self._visibility = RunVisibility()
         self._loop = asyncio.get_running_loop()
+        self._note_previous_owner(left_runs=previous_owner_left_runs)
+
+    def promote(self, *, previous_owner_left_runs: bool) -> None:
+        """Begin the term of a stand-in that has become the owner of all workers."""
+        self.stands_in = False
+        self._note_previous_owner(left_runs=previous_owner_left_runs)
+
+    def _note_previous_owner(self, *, left_runs: bool) -> None:
+        self._previous_owner_left_runs = left_runs
+        self._leases_expire_at = (
+            self._loop.time() + max_lease_s(self._limits) + LEASE_EXPIRY_MARGIN_S
+        )
 
     def are_all_seen(self, now: float) -> bool:
         """Return whether every run in the cell has been reported by its worker.
@@ -82,16 +93,17 @@
             self._visibility = RunVisibility(at=now, complete=complete and self._workers.all_held())
         return self._visibility.complete
 
-    def may_miss_runs(self) -> bool:
-        """Return whether runs of the previous owner may be active on workers unknown here.
+    def may_be_hidden(self, now: float) -> bool:
+        """Return whether runs of jobs that no entry has may be active without being seen here.
 
-        Then a job may have such runs although its entry has never submitted it before: its caller
-        may have sent it through another entry, which is gone. A stand-in takes over only workers of
-        its own domain, from an owner that has ended the jobs of that domain.
+        They are on workers that are unknown here or do not answer. A job may have such runs
+        although its entry has never submitted it before: its caller may have sent it through
+        another entry, which is gone. A stand-in takes over only workers of its own domain, from an
+        owner that has ended the jobs of that domain.
         """
-        if self.stands_in or not self._previous_owner_left_runs:
+        if self.stands_in or not self._previous_owner_left_runs or now >= self._leases_expire_at:
             return False
-        return not self._knows_all_workers()
+        return not self._knows_all_workers() or not self._workers.all_held()
 
     def start_delay_s(self, job: Job, now: float) -> float:
         """Return the seconds until no run of an earlier owner can exist.
@@ -99,7 +111,10 @@
         Runs of a job that has moved from another cell may be on workers of any cell, so only the
         leases count for it.
         """
-        if not job.may_run_unseen() or (not job.moved and self.are_all_seen(now)):
+        if not job.may_run_unseen():
+            is_waiting = job.may_be_resent and self.may_be_hidden(now)
+            return self._leases_expire_at - now if is_waiting else 0.0
+        if not job.moved and self.are_all_seen(now):
             return 0.0
         requested_at = max(job.accepted_at, self._previous_owner_active_until)
         expired_at = requested_at + max_lease_s(self._limits) + LEASE_EXPIRY_MARGIN_S
@@ -107,7 +122,8 @@
 
     def note_excluded(self, job: Job) -> None:
         """Log once for a job what rules out that tasks of it run unseen."""
-        if job.earlier_runs_excluded or not job.may_run_unseen():
+        is_affected = job.may_run_unseen() or job.may_be_resent
+        if job.earlier_runs_excluded or not is_affected:
             return
         job.earlier_runs_excluded = True
         now = self._loop.time()
--- a/zincwell/dispatch/_job_registry.py
+++ b/zincwell/dispatch/_job_registry.py
@@ -61,6 +61,7 @@
         age_s: float,
         possibly_started: bool,
         moved: bool = False,
+        may_be_resent: bool = False,
         delay_s: float = 0.0,
         unsure_s: float = 0.0,
         refused_by: Collection[str] = (),
@@ -71,6 +72,7 @@
         Return None if the job is open already, so that the entry waits as well, or if it was
         answered or cancelled, so that the entry gets that answer.
 
+        :param may_be_resent: see `Job.may_be_resent`.
         :param delay_s: how long the submission was on its way, in seconds.
         :param unsure_s: how long the request may have waited before its entry read it, in seconds.
         :param refused_by: names of the cells that have refused it.
@@ -105,6 +107,7 @@
             arrived_at=now - age_s,
             possibly_started=possibly_started,
             moved=moved,
+            may_be_resent=may_be_resent,
             accepted_at=now,
             times=self._times(age_s + delay_s + unsure_s),
             refused_by=frozenset(refused_by),
@@ -178,7 +181,8 @@
 
     def refuse(self, job: Job, reason: str, *, retry_after_s: float = RETRY_AFTER_S) -> None:
         """End a job that this owner has not started, with a retry delay."""
-        verdict = Verdict.UNKNOWN if job.possibly_started else Verdict.REFUSED
+        uncertain = job.possibly_started or job.may_be_resent
+        verdict = Verdict.UNKNOWN if uncertain else Verdict.REFUSED
         outcome = Outcome(verdict=verdict, reason=reason, retry_after_s=retry_after_s)
         self.end(job, outcome, remember=False)
 
--- a/zincwell/dispatch/_jobs.py
+++ b/zincwell/dispatch/_jobs.py
@@ -69,6 +69,8 @@
         that a previous owner may have it from another entry.
     :param possibly_started: whether a previous owner may have started tasks of it.
     :param moved: whether that owner's cell was dissolved by a new layout.
+    :param may_be_resent: whether a previous owner may have started it for the same caller, whose
+        entry has ended, and its runs may not be seen here.
     :param earlier_runs_excluded: whether it is known since that no task of it runs unseen.
     :param accepted_at: when this owner received it, on this entry's clock.
     :param waiting_entries: names of the entries whose callers wait for the outcome, each with the
@@ -103,6 +105,7 @@
     refused_by: frozenset[str] = frozenset()
     read_late: bool = False
     moved: bool = False
+    may_be_resent: bool = False
     earlier_runs_excluded: bool = False
     waiting_entries: dict[str, float] = field(default_factory=dict)
     attempts_by_entry: dict[str, int] = field(default_factory=dict)
@@ -182,12 +185,12 @@
         return {name: self.attempts_by_entry.get(name, 0) for name in self.waiting_entries}
 
     def may_run_unseen(self) -> bool:
-        """Return whether a previous owner may have started tasks of it."""
+        """Return whether a previous owner may have started tasks of it for any caller."""
         return self.possibly_started or self.read_late
 
     def may_have_runs(self) -> bool:
         """Return whether tasks of the job may be running or done."""
-        return self.started or self.possibly_started
+        return self.started or self.possibly_started or self.may_be_resent
 
     def waiting_work(self) -> float:
         """Return the estimated work of the waiting tasks, in millicore-seconds."""
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -807,8 +807,9 @@
         previous_workers = self._worker_reports.previous_workers()
         if not domain and (self._owner is None or self._owner.domain is not None):
             self._worker_reports.begin_term(previous_fence=self.election.previous_fence)
+        left_runs = self._may_previous_owner_have_left_runs()
         if self._owner is not None and not domain:
-            self._owner.promote(fence)
+            self._owner.promote(fence, previous_owner_left_runs=left_runs)
         else:
             self._close_owner()
             self._announcements.begin_term()
@@ -826,7 +827,7 @@
                 previous_owner_active_until=(
                     self.election.previous_owner_active_until() if domain else -math.inf
                 ),
-                previous_owner_left_runs=self._may_previous_owner_have_left_runs(),
+                previous_owner_left_runs=left_runs,
                 clock=self._clock,
             )
             self._owner.evacuate(self.evacuations.domains)
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -131,8 +131,7 @@
         that of the event loop.
     :param previous_owner_active_until: event loop time until which an owner that is cut off from a
         stand-in may request leases.
-    :param previous_owner_left_runs: whether runs of the previous owner may be active at the begin
-        of the term.
+    :param previous_owner_left_runs: see `EarlierRuns`.
     """
 
     def __init__(
@@ -237,15 +236,17 @@
         self._tasks.close()
         self._workers.close()
 
-    def promote(self, fence: int) -> None:
+    def promote(self, fence: int, *, previous_owner_left_runs: bool) -> None:
         """Turn a stand-in into the owner of all workers, under a higher fencing token.
 
         Jobs and runs are kept. An owner that started from scratch would lose the runs of its
         workers, whose entries in the worker list have often expired during the partition.
+
+        :param previous_owner_left_runs: see `EarlierRuns`.
         """
         self.fence = fence
         self.domain = None
-        self._earlier_runs.stands_in = False
+        self._earlier_runs.promote(previous_owner_left_runs=previous_owner_left_runs)
         self._renew_only_adopted = False
         self._workers.raise_fence(fence)
         self.resume()
@@ -362,8 +363,9 @@
             request,
             entry=entry,
             age_s=age_s,
-            possibly_started=possibly_started or self._earlier_runs.may_miss_runs(),
+            possibly_started=possibly_started,
             moved=moved,
+            may_be_resent=self._earlier_runs.may_be_hidden(self._loop.time()),
             delay_s=delay_s,
             unsure_s=unsure_s,
             refused_by=refused_by,
@@ -763,7 +765,8 @@
             self._unservable_jobs.end_due(now)
             self._orphans.stop_due(now)
             awaits_lease_expiry = any(
-                job.may_run_unseen() and job.waiting for job in self.jobs.jobs_by_id.values()
+                (job.may_run_unseen() or job.may_be_resent) and job.waiting
+                for job in self.jobs.jobs_by_id.values()
             )
             if awaits_lease_expiry or self._scheduler.starts_blocked:
                 self.on_capacity_available()
