Let a restarted owner wait for workers that have not shown their runs

An owner that has just been started again has heard no owner. It took its own ignorance (3600 s) for a long silence of the owner before, so no job could be a resend for it: tasks of a resent job ran twice at once, both ordered by the same VM. Besides, the callers of the previous owner's own entry were not counted among those that may return, though a worker that resumes after a pause may go on for 1.32 s and they return after 1.3 s.

What is known of lost entries is now one value, EntryLoss. An entry that has just started, or whose predecessor did not hand over, holds jobs until each known worker has shown its runs, at most until the leases have expired. Waiting for unknown workers as well is left to owners of which the previous one was heard: else nothing would be served for 1.4 s after each restart of all entries (three tests of tests/test_restart.py guard that).

--- a/zincwell/dispatch/_earlier_runs.py
+++ b/zincwell/dispatch/_earlier_runs.py
@@ -20,6 +20,20 @@
 LEASE_EXPIRY_MARGIN_S = 0.05
 
 
+@dataclass(slots=True, frozen=True, kw_only=True)
+class EntryLoss:
+    """What a new owner knows of entries that ended shortly before its term.
+
+    :param callers_may_return: whether an entry may have ended, so that its callers send their jobs
+        again, which no entry has submitted to this owner.
+    :param left_runs: whether, besides, the previous owner was heard shortly before, so that it may
+        have runs of these jobs on any worker that it knew.
+    """
+
+    callers_may_return: bool = False
+    left_runs: bool = False
+
+
 @dataclass(slots=True, frozen=True, kw_only=True)
 class RunVisibility:
     """Whether all runs were visible to the owner at a time of the event loop's clock."""
@@ -42,8 +56,7 @@
     :param stands_in: whether the owner has the workers of one failure domain only.
     :param previous_owner_active_until: event loop time until which an owner that is cut off from a
         stand-in may request leases.
-    :param previous_owner_left_runs: whether the previous owner may have left runs of jobs that no
-        entry has, as their entries have ended. Their callers may send them again.
+    :param loss: what is known of the entries that ended before the term.
     """
 
     def __init__(
@@ -55,7 +68,7 @@
         knows_all_workers: Callable[[], bool],
         stands_in: bool,
         previous_owner_active_until: float = -math.inf,
-        previous_owner_left_runs: bool = False,
+        loss: EntryLoss,
     ) -> None:
         self.stands_in = stands_in
         self._workers = workers
@@ -65,15 +78,15 @@
         self._previous_owner_active_until = previous_owner_active_until
         self._visibility = RunVisibility()
         self._loop = asyncio.get_running_loop()
-        self._note_previous_owner(left_runs=previous_owner_left_runs)
+        self._begin_term(loss)
 
-    def promote(self, *, previous_owner_left_runs: bool) -> None:
+    def promote(self, *, loss: EntryLoss) -> None:
         """Begin the term of a stand-in that has become the owner of all workers."""
         self.stands_in = False
-        self._note_previous_owner(left_runs=previous_owner_left_runs)
+        self._begin_term(loss)
 
-    def _note_previous_owner(self, *, left_runs: bool) -> None:
-        self._previous_owner_left_runs = left_runs
+    def _begin_term(self, loss: EntryLoss) -> None:
+        self._loss = loss
         self._leases_expire_at = (
             self._loop.time() + max_lease_s(self._limits) + LEASE_EXPIRY_MARGIN_S
         )
@@ -101,9 +114,11 @@
         another entry, which is gone. A stand-in takes over only workers of its own domain, from an
         owner that has ended the jobs of that domain.
         """
-        if self.stands_in or not self._previous_owner_left_runs or now >= self._leases_expire_at:
+        if self.stands_in or now >= self._leases_expire_at:
             return False
-        return not self._knows_all_workers() or not self._workers.all_held()
+        if self._loss.callers_may_return and not self._workers.all_held():
+            return True
+        return self._loss.left_runs and not self._knows_all_workers()
 
     def start_delay_s(self, job: Job, now: float) -> float:
         """Return the seconds until no run of an earlier owner can exist.
--- a/zincwell/dispatch/_election.py
+++ b/zincwell/dispatch/_election.py
@@ -179,9 +179,10 @@
     ) -> None:
         self.owner: EntryInfo | None = None
         self.fence = 0
-        # What was known at the election of this entry: the owner before, its fencing token, and the
-        # time since any entry has heard it.
+        # What was known at the election of this entry: the owner before, whether it handed over in
+        # order to leave, its fencing token, and the time since any entry has heard it.
         self.previous_owner: EntryInfo | None = None
+        self.previous_owner_left = False
         self.previous_fence = 0
         self.previous_silence_s = math.inf
         self.cell = cell
@@ -361,6 +362,7 @@
     def _take_ownership(self, fence: int, domain: str) -> None:
         log.info("owner_elected fence=%d domain=%s", fence, domain)
         self.previous_owner, self.previous_fence = self.owner, self.fence
+        self.previous_owner_left = self.owner_leaving
         self.previous_silence_s = self._owner_silence_of_all_s()
         self.owner, self.fence, self.domain = self.me, fence, domain
         self.owner_leaving = False
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -21,6 +21,7 @@
 from zincwell.dispatch._configurations import ConfigurationManager
 from zincwell.dispatch._directory import EntryDirectory
 from zincwell.dispatch._domains import DomainMonitor
+from zincwell.dispatch._earlier_runs import EntryLoss
 from zincwell.dispatch._election import (
     LIVENESS_INTERVAL_S,
     SUSPECT_AFTER_S,
@@ -807,9 +808,9 @@
         previous_workers = self._worker_reports.previous_workers()
         if not domain and (self._owner is None or self._owner.domain is not None):
             self._worker_reports.begin_term(previous_fence=self.election.previous_fence)
-        left_runs = self._may_previous_owner_have_left_runs()
+        loss = self._entry_loss()
         if self._owner is not None and not domain:
-            self._owner.promote(fence, previous_owner_left_runs=left_runs)
+            self._owner.promote(fence, loss=loss)
         else:
             self._close_owner()
             self._announcements.begin_term()
@@ -827,7 +828,7 @@
                 previous_owner_active_until=(
                     self.election.previous_owner_active_until() if domain else -math.inf
                 ),
-                previous_owner_left_runs=left_runs,
+                loss=loss,
                 clock=self._clock,
             )
             self._owner.evacuate(self.evacuations.domains)
@@ -849,19 +850,23 @@
         self._send_heartbeats(with_reports=True)
         self.pending_jobs.submit_pending(self._cell_directory.home.name)
 
-    def _may_previous_owner_have_left_runs(self) -> bool:
-        """Return whether the previous owner may have left runs of jobs that no entry here has.
-
-        Their callers were connected to entries that have ended, and may send them again.
-        """
-        if not may_have_left_runs(silence_s=self.election.previous_silence_s):
-            return False
-        if self._loop.time() - self._opened_at < SILENT_OWNER_HAS_ENDED_JOBS_S:
-            # The process before this one may have had callers.
-            return True
+    def _entry_loss(self) -> EntryLoss:
+        """Return what is known of the entries that ended before the term that begins now."""
+        if not self.election.previous_fence:
+            return EntryLoss()
+        within_s = SILENT_OWNER_HAS_ENDED_JOBS_S
+        # The process before this one may have had callers.
+        is_new = self._loop.time() - self._opened_at < within_s
+        was_heard = may_have_left_runs(silence_s=self.election.previous_silence_s)
+        if not is_new and not was_heard:
+            return EntryLoss()
         previous = self.election.previous_owner
         alive = [*self.election.successors, previous.name if previous is not None else ""]
-        return self._directory.has_lost_entries(alive=alive, within_s=SILENT_OWNER_HAS_ENDED_JOBS_S)
+        others_lost = is_new or self._directory.has_lost_entries(alive=alive, within_s=within_s)
+        return EntryLoss(
+            callers_may_return=others_lost or not self.election.previous_owner_left,
+            left_runs=others_lost and was_heard,
+        )
 
     def _close_owner(self) -> None:
         if self._owner is not None:
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -11,7 +11,7 @@
 from time import perf_counter
 
 from zincwell.dispatch._background import BackgroundTasks
-from zincwell.dispatch._earlier_runs import EarlierRuns
+from zincwell.dispatch._earlier_runs import EarlierRuns, EntryLoss
 from zincwell.dispatch._end_reports import EndReports
 from zincwell.dispatch._health import WorkerHealthMonitor
 from zincwell.dispatch._job_registry import JobRegistry
@@ -131,7 +131,7 @@
         that of the event loop.
     :param previous_owner_active_until: event loop time until which an owner that is cut off from a
         stand-in may request leases.
-    :param previous_owner_left_runs: see `EarlierRuns`.
+    :param loss: see `EarlierRuns`.
     """
 
     def __init__(
@@ -148,7 +148,7 @@
         covers: Callable[[WorkerInfo], bool] = lambda info: True,
         renew_only_adopted: bool = False,
         previous_owner_active_until: float = -math.inf,
-        previous_owner_left_runs: bool = False,
+        loss: EntryLoss,
         clock: Callable[[], float] | None = None,
     ) -> None:
         self._metrics = metrics
@@ -190,7 +190,7 @@
             knows_all_workers=listener.knows_all_workers,
             stands_in=domain is not None,
             previous_owner_active_until=previous_owner_active_until,
-            previous_owner_left_runs=previous_owner_left_runs,
+            loss=loss,
         )
         self._runs = RunIndex()
         self._run_times = JobRunTimeEstimator()
@@ -236,17 +236,17 @@
         self._tasks.close()
         self._workers.close()
 
-    def promote(self, fence: int, *, previous_owner_left_runs: bool) -> None:
+    def promote(self, fence: int, *, loss: EntryLoss) -> None:
         """Turn a stand-in into the owner of all workers, under a higher fencing token.
 
         Jobs and runs are kept. An owner that started from scratch would lose the runs of its
         workers, whose entries in the worker list have often expired during the partition.
 
-        :param previous_owner_left_runs: see `EarlierRuns`.
+        :param loss: see `EarlierRuns`.
         """
         self.fence = fence
         self.domain = None
-        self._earlier_runs.promote(previous_owner_left_runs=previous_owner_left_runs)
+        self._earlier_runs.promote(loss=loss)
         self._renew_only_adopted = False
         self._workers.raise_fence(fence)
         self.resume()
