Add failing tests of runs whose leases another owner renews

A task runs twice at once and both orders come from one process in one term: a worker falls silent to the owner or refuses its token, the leases that this owner has requested expire, and it starts the task elsewhere, while a stand-in or a later owner has adopted the run and renews it. With a stand-in all tasks of the worker start again within some ms, as in the users' record.

--- a/tests/test_leases_of_other_owners.py
+++ b/tests/test_leases_of_other_owners.py
@@ -10,7 +10,9 @@
 
 from tests.dispatch_world import World
 from tests.pool_jobs import finish, submit, verdicts
+from tests.test_layout_changes import grow, open_pool, wait_for_owners
 from zincwell.dispatch._types import TaskId, Verdict
+from zincwell.dispatch.ports import PeerCallError
 
 pytestmark = pytest.mark.looptime
 
@@ -28,6 +30,18 @@
     return next(w.info.id for w in world.workers.values() if TaskId(job_id, 0, 0) in w.runs)
 
 
+def refuse_calls_to_earlier_processes(world: World) -> None:
+    """Let no process answer calls that its VM makes to its earlier process, at another port."""
+    deliver = world.deliver
+
+    async def deliver_to_others(address, envelope, *, timeout_s):
+        if address == envelope.sender.name:
+            raise PeerCallError("connection refused")
+        return await deliver(address, envelope, timeout_s=timeout_s)
+
+    world.deliver = deliver_to_others
+
+
 async def sleep_until(world: World, at: float) -> None:
     """Wait until a time of the event loop's clock."""
     await asyncio.sleep(at - world.loop.time())
@@ -67,6 +81,7 @@
 ):
     # Guards against two runs ordered by one VM: it is started again, elected again before the
     # leases of its earlier process have expired, and does not see all runs.
+    refuse_calls_to_earlier_processes(world)
     entries = 2 if others == "none" else 3
     await world.open(zones="a" if others == "none" else "ab", entries=entries, workers=3)
     owner = world.owners()[0]
@@ -94,3 +109,144 @@
     world.store_down_for.clear()
     await finish([again], within_s=20)
     assert_that(verdicts([again]), Equals({Verdict.SUCCEEDED}))
+
+
+@pytest.mark.parametrize("cut_s", [0.55, 0.57, 0.59])
+async def test_an_owner_that_is_refused_starts_no_task_that_another_owner_has_adopted(
+    world: World, cut_s: float
+):
+    # Guards against a run that counts as lost by the leases of an owner whose token the worker
+    # refuses, although the owner that the worker follows renews them.
+    await world.open(zones="abc", entries=2, workers=2)
+    owner = world.owners()[0]
+    successor = world.nodes[owner]._directory.successors()[0]
+    caller = next(n for n in sorted(world.nodes) if n not in (owner, successor))
+    job = submit(world, caller, "job", **JOB)
+    await asyncio.sleep(0.3)
+    worker_id = worker_of(world, "job")
+    free = next(w for w in sorted(world.workers) if w != worker_id)
+    for name in [*world.nodes, *world.workers, "store"]:
+        if name != owner:
+            world.cut(owner, name)
+    world.cut(successor, free)
+    await asyncio.sleep(cut_s)
+    world.cuts = {
+        frozenset((owner, "store")),
+        frozenset((owner, successor)),
+        frozenset((successor, free)),
+    }
+    await asyncio.sleep(3)
+    world.heal()
+    await finish([job], within_s=20)
+
+
+def find_shared_worker(world: World, entry_by_job: dict[str, str], zone: str) -> tuple[str, str]:
+    """Return a worker of a zone that runs a job of its zone and one of another, and the former."""
+    for worker_id in sorted(world.workers):
+        jobs = [task.job for task in world.workers[worker_id].runs]
+        own = [job for job in jobs if world.nodes[entry_by_job[job]].me.zone == zone]
+        if worker_id.startswith(f"w-{zone}") and len(jobs) == 2 and len(own) == 1:
+            return worker_id, own[0]
+    raise AssertionError("no worker is shared")
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.02, 0.1, 0.2])
+async def test_an_adopted_run_is_not_lost_before_the_lease_of_the_owner_before_has_expired(
+    world: World, delay_s: float
+):
+    # Guards against a second run after a division: an owner that may not renew leases beside a run
+    # of another cell gives up the run that it has adopted as soon as its worker falls silent.
+    owner = await open_pool(world)
+    zone = next(zone for zone in "bca" if zone != world.nodes[owner].me.zone)
+    entries = [n for n in sorted(world.nodes) if n != owner and n.endswith("1")]
+    entry_by_job = {f"job-{n}": entries[n * 7 // 5 % len(entries)] for n in range(44)}
+    jobs = [
+        submit(world, entry, job_id, count=1, run_ms=6000, objective_ms=20_000)
+        for job_id, entry in entry_by_job.items()
+    ]
+    await asyncio.sleep(0.5)
+    grow(world)
+    await wait_for_owners(world, 3)
+    worker_id, job_id = find_shared_worker(world, entry_by_job, zone)
+    await asyncio.sleep(delay_s)
+    world.cut(world.owner_in(zone), worker_id)
+    await asyncio.sleep(3.0)
+    world.heal()
+    await finish(jobs, within_s=30)
+
+
+@pytest.mark.parametrize("store_of_owner", ["down", "up"])
+@pytest.mark.parametrize("workers_cut_s", [0.0, 1.0, 3.0])
+async def test_an_owner_starts_no_task_that_a_stand_in_has_adopted(
+    world: World, store_of_owner: str, workers_cut_s: float
+):
+    # Guards against a second run on a worker of another domain: one entry of a cut-off domain stays
+    # with the owner, so the owner keeps the jobs of the others and counts their runs as lost.
+    await world.open(zones="abc", entries=3, workers=2)
+    owner = world.owners()[0]
+    zone = next(zone for zone in "bca" if zone != world.nodes[owner].me.zone)
+    apart = [f"e-{zone}1", f"e-{zone}3"]
+    other_zones = {"a", "b", "c"} - {zone}
+    world.evacuate(*other_zones)
+    await asyncio.sleep(0.5)
+    jobs = [submit(world, apart[0], f"job-{n}", **JOB) for n in range(4)]
+    await asyncio.sleep(0.5)
+    assert_that(len(world.starts_in(zone, since=0.0)), Equals(4))
+    world.restore(*other_zones)
+    await asyncio.sleep(0.5)
+    stays_up = {owner} if store_of_owner == "up" else set()
+    world.store_down_for = set(world.nodes) - stays_up
+    for name in apart:
+        for other in set(world.nodes) - set(apart):
+            world.cut(name, other)
+    workers = [name for name, worker in world.workers.items() if worker.info.zone == zone]
+    for worker_id in workers:
+        world.cut(owner, worker_id)
+    await asyncio.sleep(workers_cut_s)
+    for worker_id in workers:
+        world.cuts.discard(frozenset((owner, worker_id)))
+    await asyncio.sleep(3.0 - workers_cut_s)
+    world.heal()
+    world.store_down_for.clear()
+    await finish(jobs, within_s=30)
+
+
+class OtherOwner:
+    """Another owner of one worker, which renews the leases there and tells nobody.
+
+    :param fence: its fencing token.
+    """
+
+    def __init__(self, world: World, *, worker_id: str, fence: int) -> None:
+        self._worker = world.workers[worker_id]
+        self._world = world
+        self._worker.fence = fence
+        self._renew()
+
+    def _renew(self) -> None:
+        self._worker.extend(self._worker.clock_ms() + 1000)
+        self._world.loop.call_later(0.2, self._renew)
+
+
+@pytest.mark.parametrize("sends_born", [True, False])
+@pytest.mark.parametrize("store", ["down", "up"])
+async def test_a_task_whose_second_order_is_refused_does_not_start_elsewhere(
+    world: World, sends_born: bool, store: str
+):
+    # Guards against a second run beside the one that the first copy of the order has started, if
+    # the worker refuses the second copy since it follows another owner by then.
+    world.sends_born = sends_born
+    await world.open(zones="a", entries=2, workers=3)
+    owner = world.owners()[0]
+    world.lose_start_answers = set(world.workers)
+    job = submit(world, owner, "job", **{**JOB, "run_ms": 4000})
+    while not world.starts:
+        await asyncio.sleep(0.001)
+    worker_id = worker_of(world, "job")
+    if store == "down":
+        world.store_down_for = set(world.nodes)
+    OtherOwner(world, worker_id=worker_id, fence=world.workers[worker_id].fence + 1)
+    world.lose_start_answers = set()
+    await asyncio.sleep(3.0)
+    world.store_down_for.clear()
+    await finish([job], within_s=30)
