Don't take runs for lost by leases on a worker that refuses the token

A task ran twice at once, both times ordered by one process in one term. An owner stood still or was cut off, another one claimed, adopted the run and renewed its leases. Back again, without the store and without a way to the new owner, the first one is refused by the worker. It counted the run as lost 1.37 s after the last lease that it had requested itself, and started the task on a worker that the new owner can't reach. The same with a worker that refuses the second order of a task after an unanswered one.

A worker that refuses the fencing token follows another owner, so own leases say nothing of its runs. They now stay until the worker is held again under a higher token and lists its runs, or until this owner's term ends.

--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -651,7 +651,8 @@
         """Draw the conclusions from a poll without a valid answer."""
         if self._loop.time() - self.last_answer_at > HELD_TIMEOUT_S:
             self.held = False
-        if self.runs and self._calls.have_leases_expired():
+        # The owner that a worker follows instead may renew the leases of its runs.
+        if self.runs and not self.fenced and self._calls.have_leases_expired():
             self._abandon_expired_runs()
 
     def _handle_poll_failure(self) -> None:
