Confirm the term before a task of a silent worker starts again

Tasks ran twice at once, all ordered by one owner within some ms, four at once in the test: some entries of a failure domain are cut off with its workers and get a stand-in, which adopts the runs of their jobs and renews them. One entry of the domain still answers the owner, so the domain doesn't count as cut off, and the owner keeps these jobs for 3 s. After 1.37 s it took the runs for lost and started the tasks in other domains. Its own leases had expired, those of the stand-in had not.

The class: "every lease that I have requested has expired" was taken for "the run has ended". That holds only while nobody else renews. A run that is given up on a silent worker now leaves its job waiting until the owner has read, at a later time, that no later claim is in the store, and has an acknowledgement under its token, asked for later, from each entry that waits for the job. A stand-in that is promoted meanwhile waits for leases once more.

--- a/zincwell/dispatch/_directory.py
+++ b/zincwell/dispatch/_directory.py
@@ -153,6 +153,10 @@
             self.links_by_name[entry.name] = link
         return link
 
+    def is_cell_member(self, entry: EntryInfo) -> bool:
+        """Return whether an entry belongs to the home cell."""
+        return self._is_cell_member(entry)
+
     def cell_members(self) -> list[EntryInfo]:
         """Return the entries of the home cell, including this one."""
         return [entry for entry in self.entries_by_name.values() if self._is_cell_member(entry)]
--- a/zincwell/dispatch/_jobs.py
+++ b/zincwell/dispatch/_jobs.py
@@ -71,6 +71,8 @@
     :param moved: whether that owner's cell was dissolved by a new layout.
     :param may_be_resent: whether a previous owner may have started it for the same caller, whose
         entry has ended, and its runs may not be seen here.
+    :param lost_at: event loop time at which a run of it was given up since its leases had expired;
+        None once no other owner can have renewed them.
     :param earlier_runs_excluded: whether it is known since that no task of it runs unseen.
     :param accepted_at: when this owner received it, on this entry's clock.
     :param waiting_entries: names of the entries whose callers wait for the outcome, each with the
@@ -106,6 +108,7 @@
     read_late: bool = False
     moved: bool = False
     may_be_resent: bool = False
+    lost_at: float | None = None
     earlier_runs_excluded: bool = False
     waiting_entries: dict[str, float] = field(default_factory=dict)
     attempts_by_entry: dict[str, int] = field(default_factory=dict)
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -5,7 +5,7 @@
 import asyncio
 import logging
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 import msgspec
 
@@ -55,6 +55,7 @@
 from zincwell.dispatch._pending_jobs import PendingJobTracker
 from zincwell.dispatch._reachability import ReachabilityMonitor
 from zincwell.dispatch._router import OwnerRouter
+from zincwell.dispatch._term_confirmation import TermConfirmation
 from zincwell.dispatch._topic_follower import TopicFollower
 from zincwell.dispatch._types import (
     Configuration,
@@ -226,6 +227,9 @@
             limits=self._limits,
             clock=self._clock,
         )
+        self._term_confirmation = TermConfirmation(
+            store=self._store, directory=self._directory, get_election=lambda: self.election
+        )
         self._start_reachability_monitoring()
         self._entries_feed = TopicFollower(
             store=self._store,
@@ -276,6 +280,7 @@
             self._owner.close()
         self._directory.close()
         self.configurations.close()
+        self._term_confirmation.close()
         self._tasks.close()
 
     @property
@@ -702,6 +707,13 @@
         directory = self._cell_directory
         return LayoutNotice(layout=directory.layout, offset=directory.layout_offset)
 
+    def is_term_confirmed(self, entries: Collection[str], *, since: float) -> bool:
+        """Return whether no other owner can have had the jobs of some entries until a given time.
+
+        :param since: event loop time.
+        """
+        return self._term_confirmation.is_confirmed(entries, since=since)
+
     def has_usable_worker_list(self) -> bool:
         """Return whether the worker list is recent enough for starting tasks.
 
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -95,6 +95,13 @@
     def knows_all_workers(self) -> bool:
         """Return whether no worker is unknown on which the previous owner may have runs."""
 
+    @abc.abstractmethod
+    def is_term_confirmed(self, entries: Collection[str], *, since: float) -> bool:
+        """Return whether no other owner can have had the jobs of some entries until a given time.
+
+        :param since: event loop time.
+        """
+
     @abc.abstractmethod
     def has_evacuation_state(self) -> bool:
         """Return whether the set of evacuated failure domains is known."""
@@ -247,10 +254,19 @@
         self.fence = fence
         self.domain = None
         self._earlier_runs.promote(loss=loss)
+        self._await_leases_of_lost_runs()
         self._renew_only_adopted = False
         self._workers.raise_fence(fence)
         self.resume()
 
+    def _await_leases_of_lost_runs(self) -> None:
+        """Wait for the leases that another owner has renewed while this one was not the owner."""
+        for job in self.jobs.jobs_by_id.values():
+            if job.lost_at is not None:
+                job.lost_at = None
+                job.possibly_started = True
+                job.accepted_at = self._loop.time()
+
     # -- workers ----------------------------------------------------------------------------
 
     def set_workers(self, infos: dict[str, WorkerInfo]) -> None:
@@ -326,9 +342,25 @@
         """
         if self._earlier_runs.start_delay_s(job, now) > 0 or not self._listener.may_start(job):
             return True
+        if not self._is_loss_confirmed(job):
+            return True
         self._earlier_runs.note_excluded(job)
         return False
 
+    def _is_loss_confirmed(self, job: Job) -> bool:
+        """Return whether the runs that were given up on silent workers have certainly ended."""
+        if job.lost_at is None:
+            return True
+        if not self._listener.is_term_confirmed(job.waiting_entries, since=job.lost_at):
+            return False
+        log.info(
+            "loss_confirmed job=%s waited_ms=%d",
+            job.request.id,
+            (self._loop.time() - job.lost_at) * 1000,
+        )
+        job.lost_at = None
+        return True
+
     # -- jobs -------------------------------------------------------------------------------
 
     def submit(
@@ -637,6 +669,8 @@
             if task.failures >= job.request.attempts:
                 self.jobs.end(job, Outcome(verdict=Verdict.FAILED, reason="task failed"))
                 return
+        if cause is EndCause.LEASES_EXPIRED:
+            job.lost_at = self._loop.time()
         job.mark_waiting(task)
         self._enqueue(job)
 
@@ -764,9 +798,10 @@
             self._end_reports.finish_overdue(now)
             self._unservable_jobs.end_due(now)
             self._orphans.stop_due(now)
-            awaits_lease_expiry = any(
-                (job.may_run_unseen() or job.may_be_resent) and job.waiting
+            awaits_certainty = any(
+                job.waiting
+                and (job.may_run_unseen() or job.may_be_resent or job.lost_at is not None)
                 for job in self.jobs.jobs_by_id.values()
             )
-            if awaits_lease_expiry or self._scheduler.starts_blocked:
+            if awaits_certainty or self._scheduler.starts_blocked:
                 self.on_capacity_available()
--- a/zincwell/dispatch/_peers.py
+++ b/zincwell/dispatch/_peers.py
@@ -93,6 +93,8 @@
         self.peer = peer
         self.peer_clock = PeerClock(clock=clock)
         self.last_receipt_at = -1e9
+        # When the delivery was sent that the last receipt acknowledges.
+        self.last_receipt_asked_at = -1e9
         self.last_receipt: Receipt | None = None
         self.me = me
         self._client = client
@@ -278,6 +280,7 @@
                 evacuations=self._observer.evacuations_to_share(),
                 layout_offset=self._observer.layout_offset(),
             )
+            asked_at = self._loop.time()
             try:
                 receipt = await self._client.deliver(
                     self.peer.address, envelope, timeout_s=DELIVERY_TIMEOUT_S
@@ -295,6 +298,7 @@
             if receipt.clock_s is not None:
                 self.peer_clock.update(receipt.clock_s)
         self.last_receipt_at = self._loop.time()
+        self.last_receipt_asked_at = asked_at
         self.last_receipt = receipt
         return receipt
 
