Count the lease of the owner before for a run that is adopted

An owner that may not renew leases beside an orphaned run (a stand-in, or one after a change of the layout) had requested no lease for the runs that it adopted. One failed poll counted them as lost at once, while the lease of the owner before was in force; their tasks were free to start again. No second run was seen: such jobs wait for other reasons (moved, or a stand-in). An adopted run now counts as active for the longest lease from its adoption.

tests/test_leases_of_other_owners.py: an adopted run was given up at 6.59 s, its lease ended at 6.796 s, before; the test passes now.

--- a/tests/test_leases_of_other_owners.py
+++ b/tests/test_leases_of_other_owners.py
@@ -6,7 +6,7 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import Equals
+from testtools.matchers import Contains, Equals
 
 from tests.dispatch_world import World
 from tests.pool_jobs import finish, submit, verdicts
@@ -47,10 +47,11 @@
     await asyncio.sleep(at - world.loop.time())
 
 
+@pytest.mark.parametrize("how", ["killed", "leaves"])
 @pytest.mark.parametrize("silent_s", [0.1, 10.0])
-@pytest.mark.parametrize("owner_lost_after_s", [0.4, 0.6, 0.8, 1.0])
+@pytest.mark.parametrize("owner_lost_after_s", [0.0, 0.4, 0.6, 0.8, 1.0, 1.2])
 async def test_a_resent_job_does_not_start_beside_its_run_on_a_worker_silent_to_the_new_owner(
-    world: World, owner_lost_after_s: float, silent_s: float
+    world: World, owner_lost_after_s: float, silent_s: float, how: str
 ):
     # Guards against a second run: the owner renews leases after the caller's entry is lost, up to
     # its own end, and its successor starts the resent job as soon as a worker is slow to answer.
@@ -64,12 +65,19 @@
     world.kill_node(lost)
     await asyncio.sleep(owner_lost_after_s)
     worker_id = worker_of(world, "job")
-    world.kill_node(owner)
-    world.cut(successor, worker_id)
+    if how == "killed":
+        world.kill_node(owner)
+    else:
+        leaving = asyncio.ensure_future(world.nodes[owner].drain())
+    for name in world.nodes:
+        if name != owner:
+            world.cut(name, worker_id)
     world.loop.call_at(lost_at + RESEND_AFTER_S + silent_s, world.heal)
     await sleep_until(world, lost_at + RESEND_AFTER_S)
     again = submit(world, caller, "job", **JOB)
     await finish([again], within_s=20)
+    if how == "leaves":
+        await leaving
     assert_that(verdicts([again]), Equals({Verdict.SUCCEEDED}))
 
 
@@ -106,6 +114,7 @@
     await sleep_until(world, lost_at + RESEND_AFTER_S)
     again = submit(world, owner, "job", **JOB)
     await asyncio.sleep(2.0)
+    assert_that(world.owners(), Equals([owner]))
     world.store_down_for.clear()
     await finish([again], within_s=20)
     assert_that(verdicts([again]), Equals({Verdict.SUCCEEDED}))
@@ -150,12 +159,11 @@
     raise AssertionError("no worker is shared")
 
 
-@pytest.mark.parametrize("delay_s", [0.0, 0.02, 0.1, 0.2])
-async def test_an_adopted_run_is_not_lost_before_the_lease_of_the_owner_before_has_expired(
-    world: World, delay_s: float
-):
-    # Guards against a second run after a division: an owner that may not renew leases beside a run
-    # of another cell gives up the run that it has adopted as soon as its worker falls silent.
+async def divide_beside_shared_worker(world: World) -> tuple[list[asyncio.Task], str, str, str]:
+    """Divide a pool at work; return its jobs, a new owner, and a worker with a run that it adopts.
+
+    The worker also has a run of another cell's job. The last item is the job of the adopted run.
+    """
     owner = await open_pool(world)
     zone = next(zone for zone in "bca" if zone != world.nodes[owner].me.zone)
     entries = [n for n in sorted(world.nodes) if n != owner and n.endswith("1")]
@@ -168,13 +176,41 @@
     grow(world)
     await wait_for_owners(world, 3)
     worker_id, job_id = find_shared_worker(world, entry_by_job, zone)
+    return jobs, world.owner_in(zone), worker_id, job_id
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.02, 0.1, 0.2])
+async def test_an_adopted_run_that_is_given_up_early_does_not_start_again_within_its_lease(
+    world: World, delay_s: float
+):
+    # Guards against a second run after a division: an owner that may not renew leases beside a run
+    # of another cell gives up the run that it has adopted as soon as its worker falls silent.
+    jobs, owner, worker_id, _ = await divide_beside_shared_worker(world)
     await asyncio.sleep(delay_s)
-    world.cut(world.owner_in(zone), worker_id)
+    world.cut(owner, worker_id)
     await asyncio.sleep(3.0)
     world.heal()
     await finish(jobs, within_s=30)
 
 
+async def test_an_adopted_run_counts_as_active_until_its_lease_has_expired(world: World):
+    # Guards against a run that counts as lost 0.5 s after its worker has fallen silent, under the
+    # lease that the owner before has requested: an owner that has renewed nothing expects none.
+    jobs, owner, worker_id, job_id = await divide_beside_shared_worker(world)
+    await asyncio.sleep(0.02)
+    runs = world.nodes[owner]._owner._runs
+    assert_that(runs.job_ids(), Contains(job_id))
+    world.cut(owner, worker_id)
+    lost_at = []
+    while TaskId(job_id, 0, 0) in world.workers[worker_id].runs:
+        if job_id not in runs.job_ids():
+            lost_at.append(world.loop.time())
+        await asyncio.sleep(0.005)
+    world.heal()
+    await finish(jobs, within_s=30)
+    assert_that(lost_at, Equals([]))
+
+
 @pytest.mark.parametrize("store_of_owner", ["down", "up"])
 @pytest.mark.parametrize("workers_cut_s", [0.0, 1.0, 3.0])
 async def test_an_owner_starts_no_task_that_a_stand_in_has_adopted(
@@ -217,7 +253,7 @@
     :param fence: its fencing token.
     """
 
-    def __init__(self, world: World, *, worker_id: str, fence: int) -> None:
+    def __init__(self, *, world: World, worker_id: str, fence: int) -> None:
         self._worker = world.workers[worker_id]
         self._world = world
         self._worker.fence = fence
@@ -245,8 +281,44 @@
     worker_id = worker_of(world, "job")
     if store == "down":
         world.store_down_for = set(world.nodes)
-    OtherOwner(world, worker_id=worker_id, fence=world.workers[worker_id].fence + 1)
+    fence = world.workers[worker_id].fence + 1
+    OtherOwner(world=world, worker_id=worker_id, fence=fence)
     world.lose_start_answers = set()
     await asyncio.sleep(3.0)
     world.store_down_for.clear()
     await finish([job], within_s=30)
+
+
+@pytest.mark.parametrize("owner_lost_after_s", [0.0, 0.4, 0.6, 0.8])
+async def test_an_owner_that_wins_its_term_back_starts_no_resent_job_beside_its_run(
+    world: World, owner_lost_after_s: float
+):
+    # Guards against two runs ordered by one process: the owner in between has adopted and renewed
+    # the first one, and its worker is silent when the process owns the cell again.
+    await world.open(zones="ab", entries=3, workers=3)
+    owner = world.owners()[0]
+    lost, caller = [n for n in sorted(world.nodes) if n != owner][:2]
+    submit(world, lost, "job", **JOB)
+    await asyncio.sleep(0.3)
+    for name in set(world.nodes) - {owner}:
+        world.cut(owner, name)
+    while world.owners() == [owner]:
+        await asyncio.sleep(0.01)
+    between = next(n for n in world.owners() if n != owner)
+    world.heal()
+    await asyncio.sleep(0.5)
+    assert_that(world.owners(), Equals([between]))
+    assert_that({lost, caller} & {owner, between}, Equals(set()))
+    lost_at = world.loop.time()
+    world.kill_node(lost)
+    world.store_down_for = set(world.nodes) - {owner}
+    await asyncio.sleep(owner_lost_after_s)
+    world.kill_node(between)
+    world.cut(owner, worker_of(world, "job"))
+    await sleep_until(world, lost_at + RESEND_AFTER_S)
+    again = submit(world, caller, "job", **JOB)
+    await asyncio.sleep(2.0)
+    assert_that(world.owners(), Equals([owner]))
+    world.store_down_for.clear()
+    await finish([again], within_s=20)
+    assert_that(verdicts([again]), Equals({Verdict.SUCCEEDED}))
--- a/zincwell/dispatch/_worker_calls.py
+++ b/zincwell/dispatch/_worker_calls.py
@@ -125,8 +125,16 @@
 
         That call may have renewed the leases of runs that this incarnation executes.
         """
+        self._leases_expire_at = max(self._leases_expire_at, previous._leases_expire_at)
+        self.assume_renewed()
+
+    def assume_renewed(self) -> None:
+        """Assume that a lease of the greatest length was requested just now.
+
+        The owner before may have renewed a run until the worker took the present fencing token.
+        """
         renewed_until = self._loop.time() + max_lease_s(self._limits)
-        self._leases_expire_at = max(previous._leases_expire_at, renewed_until)
+        self._leases_expire_at = max(self._leases_expire_at, renewed_until)
 
     async def start(self, run: Run) -> StartReply:
         """Order a run, which the worker refuses if the order arrives past its deadline."""
--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -412,6 +412,7 @@
         self.orphaned_runs.pop(run.task, None)
         run.confirmed_at = self._loop.time()
         run.answered = True
+        self._calls.assume_renewed()
         self._add(run)
 
     def _order(self, run: Run) -> None:
