Start nothing once a later claim is known

A task ran twice at once: an owner stands still or is cut off for 0.55 s, another entry claims, and the first one comes back without the store and without a way to the new owner. Other entries acknowledge its heartbeats under the later claim's token, but it only meant to claim again as soon as the store answers, and went on starting waiting tasks on a worker that the new owner can't reach. Their entries had submitted these jobs to the new owner, which started them when the leases had expired.

An acknowledgement under the token of a later claim of the same cell proves that the term has ended, store or not. From then on the owner starts nothing; the rest (reading the claim, following the new owner) is as before. Tokens of stand-ins belong to the same claim and change nothing.

--- a/tests/test_leases_of_other_owners.py
+++ b/tests/test_leases_of_other_owners.py
@@ -322,3 +322,34 @@
     world.store_down_for.clear()
     await finish([again], within_s=20)
     assert_that(verdicts([again]), Equals({Verdict.SUCCEEDED}))
+
+
+@pytest.mark.parametrize("cut_s", [0.55, 0.59])
+async def test_an_owner_that_hears_of_a_later_claim_starts_nothing_any_more(
+    world: World, cut_s: float
+):
+    # Guards against a second run: an owner that does not reach the store goes on after a later
+    # claim, and starts waiting tasks of jobs that their entries have submitted to the new owner.
+    await world.open(zones="abc", entries=2, workers=1)
+    owner = world.owners()[0]
+    successor = world.nodes[owner]._directory.successors()[0]
+    caller = next(n for n in sorted(world.nodes) if n not in (owner, successor))
+    blocking = submit(world, caller, "blocking", count=6, run_ms=1200, objective_ms=20_000)
+    await asyncio.sleep(0.2)
+    job = submit(world, caller, "job", **JOB)
+    await asyncio.sleep(0.2)
+    free = sorted(world.workers)[0]
+    for name in [*world.nodes, *world.workers, "store"]:
+        if name != owner:
+            world.cut(owner, name)
+    world.cut(successor, free)
+    await asyncio.sleep(cut_s)
+    world.cuts = {
+        frozenset((owner, "store")),
+        frozenset((owner, successor)),
+        frozenset((successor, free)),
+    }
+    await asyncio.sleep(4)
+    assert_that(world.nodes[successor].election.is_owner(), Equals(True))
+    world.heal()
+    await finish([blocking, job], within_s=20)
--- a/zincwell/dispatch/_election.py
+++ b/zincwell/dispatch/_election.py
@@ -117,6 +117,11 @@
     return (offset + 1) * TOKENS_PER_CLAIM + position
 
 
+def claim_of_token(fence: int) -> int:
+    """Return a number that rises with the claims that tokens belong to."""
+    return fence // TOKENS_PER_CLAIM
+
+
 class ElectionObserver(abc.ABC):
     """Callbacks of the election to the node."""
 
@@ -179,6 +184,8 @@
     ) -> None:
         self.owner: EntryInfo | None = None
         self.fence = 0
+        # Highest token of an owner of the cell that another entry has acknowledged.
+        self.newest_fence = 0
         # What was known at the election of this entry: the owner before, whether it handed over in
         # order to leave, its fencing token, and the time since any entry has heard it.
         self.previous_owner: EntryInfo | None = None
@@ -248,6 +255,13 @@
         """Return whether this entry is the owner or a stand-in."""
         return self.owner is not None and self.owner.incarnation == self.me.incarnation
 
+    def is_superseded(self) -> bool:
+        """Return whether this entry is the owner by a claim that a later one has followed.
+
+        Stand-ins have higher tokens as well, but under the same claim.
+        """
+        return self.is_owner() and claim_of_token(self.newest_fence) > claim_of_token(self.fence)
+
     # -- incoming information ---------------------------------------------------------------
 
     def note_claim(self, offset: int, claim: OwnerClaim | None) -> None:
@@ -328,6 +342,7 @@
         """Process the acknowledgement of another entry."""
         if self.is_owner() and receipt.fence > self.fence:
             self.reclaim = True
+            self.newest_fence = max(self.newest_fence, receipt.fence)
         owner = self.owner
         if owner is None or self.is_owner():
             return
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -707,6 +707,10 @@
         directory = self._cell_directory
         return LayoutNotice(layout=directory.layout, offset=directory.layout_offset)
 
+    def is_superseded(self) -> bool:
+        """Return whether another entry has become owner of the cell by a later claim."""
+        return self.election.is_superseded()
+
     def is_term_confirmed(self, entries: Collection[str], *, since: float) -> bool:
         """Return whether no other owner can have had the jobs of some entries until a given time.
 
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -102,6 +102,10 @@
         :param since: event loop time.
         """
 
+    @abc.abstractmethod
+    def is_superseded(self) -> bool:
+        """Return whether another entry has become owner by a later claim."""
+
     @abc.abstractmethod
     def has_evacuation_state(self) -> bool:
         """Return whether the set of evacuated failure domains is known."""
@@ -329,10 +333,13 @@
         """Return whether tasks may be started yet; see `STARTUP_DELAY_S`.
 
         A new owner may receive jobs before it knows the evacuations, and its worker list may be
-        stale.
+        stale. One that hears of a later claim leaves the waiting tasks to the next owner, although
+        it can't read from the store yet who that is.
         """
         if not self._listener.has_evacuation_state() or not self._listener.has_usable_worker_list():
             return False
+        if self._listener.is_superseded():
+            return False
         return now - self._opened_at >= STARTUP_DELAY_S or self._workers.all_probed()
 
     def _may_run_already(self, job: Job, now: float) -> bool:
