Record which process starts each task in the test platform

A violation named two workers, not the processes that had started the runs, so nobody could see from a failed test whether both orders came from one VM. Starts are recorded with the entry, its process and the fencing token, and concurrent runs as pairs of them. The list of tuples stays.

--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -59,6 +59,48 @@
 LEAVE_NOTICE_S = 2.0
 
 
+@dataclass(frozen=True, kw_only=True)
+class Sender:
+    """The process of an entry that sends an order.
+
+    :param life: number of the processes started before it under the name of the entry.
+    """
+
+    entry: str
+    life: int
+
+
+# Sender of the orders that a test gives to a worker directly.
+NO_ENTRY = Sender(entry="", life=0)
+
+
+@dataclass(frozen=True, kw_only=True)
+class RecordedStart:
+    """A task that a worker has started on an order.
+
+    :param at: event loop time in seconds.
+    """
+
+    at: float
+    worker_id: str
+    task: TaskId
+    run: int
+    sender: Sender
+    fence: int
+
+    def origin(self) -> str:
+        """Return the process that sent the order, and its fencing token."""
+        return f"{self.sender.entry} life {self.sender.life} fence {self.fence}"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Overlap:
+    """Two concurrent runs of one task."""
+
+    first: RecordedStart
+    second: RecordedStart
+
+
 @dataclass
 class FakeRun:
     """A run on a worker."""
@@ -67,6 +109,7 @@
     number: int
     started_at: float
     end_timer: asyncio.TimerHandle | None
+    recorded: RecordedStart
     # Progress at the time of the last change of the worker's speed, and that time.
     share_before: float = 0.0
     changed_at: float | None = None
@@ -91,6 +134,8 @@
     changed: asyncio.Event = field(default_factory=asyncio.Event)
     lease_timer: asyncio.TimerHandle | None = None
     clock_offset_ms: int = 5_000
+    # Of the order that is executed now, or was last.
+    sender: Sender = NO_ENTRY
 
     def clock_ms(self) -> int:
         return int(self.world.loop.time() * 1000) + self.clock_offset_ms
@@ -134,10 +179,10 @@
             return StartReply(status=StartStatus.NO_ROOM, clock_ms=self.clock_ms())
         self.extend(order.deadline_ms)
         self.highest_run_by_task[order.task] = order.run
-        self.world.note_start(self, order)
+        recorded = self.world.note_start(self, order)
         run_s = self.run_s(order.task)
         kind = EndKind.FAILED if self.fails_all else EndKind.DONE
-        run = FakeRun(order.task, order.run, self.world.loop.time(), None)
+        run = FakeRun(order.task, order.run, self.world.loop.time(), None, recorded)
         self.runs[order.task] = run
         if not self.hangs:
             run.end_timer = self.world.loop.call_later(run_s, self.end, run, kind)
@@ -272,6 +317,8 @@
         self.cpu_by_job: dict[str, int] = {}
         self.done: dict[TaskId, int] = defaultdict(int)
         self.starts: list[tuple[float, str, TaskId, int]] = []
+        self.recorded_starts: list[RecordedStart] = []
+        self.overlaps: list[Overlap] = []
         self.violations: list[str] = []
         self.evacuated_at_by_zone: dict[str, float] = {}
         self.leaving_since_by_worker: dict[str, float] = {}
@@ -419,7 +466,7 @@
         node = Node(
             me=me,
             store=FakeStore(world=self, name=name),
-            workers=FakeWorkerClient(world=self, name=name, zone=zone),
+            workers=FakeWorkerClient(world=self, name=name, zone=zone, life=life),
             peers=FakePeerClient(world=self, name=name, zone=zone),
             limits=Limits(),
             clock=lambda: self.loop.time() + self.suspended_s[name],
@@ -471,9 +518,18 @@
     def cpu_of(self, task: TaskId) -> int:
         return self.cpu_by_job.get(task.job, 27_000)
 
-    def note_start(self, worker: FakeWorker, order: StartOrder) -> None:
+    def note_start(self, worker: FakeWorker, order: StartOrder) -> RecordedStart:
         now = self.loop.time()
         self.starts.append((now, worker.info.id, order.task, order.run))
+        recorded = RecordedStart(
+            at=now,
+            worker_id=worker.info.id,
+            task=order.task,
+            run=order.run,
+            sender=worker.sender,
+            fence=order.fence,
+        )
+        self.recorded_starts.append(recorded)
         leaving_s = now - self.leaving_since_by_worker.get(worker.info.id, now)
         if leaving_s > LEAVE_NOTICE_S:
             self.violations.append(
@@ -487,11 +543,14 @@
             if called_at <= self.acknowledged_at[order.task]:
                 self.repeated_runs_of_callers.append(repeat)
         for other in self.workers.values():
-            if order.task in other.runs:
+            active = other.runs.get(order.task)
+            if active is not None:
+                self.overlaps.append(Overlap(first=active.recorded, second=recorded))
                 self.violations.append(
-                    f"{self.loop.time():.3f}: {order.task} runs on {other.info.id} "
-                    f"and {worker.info.id}"
+                    f"{now:.3f}: {order.task} runs on {other.info.id} and {worker.info.id} "
+                    f"(from {active.recorded.origin()} and {recorded.origin()})"
                 )
+        return recorded
 
     def starts_in(self, zone: str, *, since: float) -> list[str]:
         """Return the workers of a zone with starts since a time, one item for each start."""
@@ -605,9 +664,10 @@
 class FakeWorkerClient(WorkerClient):
     """Worker client of one entry."""
 
-    def __init__(self, *, world: World, name: str, zone: str) -> None:
+    def __init__(self, *, world: World, name: str, zone: str, life: int) -> None:
         self._world = world
         self._me = (name, zone)
+        self._sender = Sender(entry=name, life=life)
 
     async def _use_link(self) -> None:
         """Wait for the entry's link, which also carries answers to calls that have timed out."""
@@ -637,6 +697,7 @@
             await asyncio.sleep(timeout_s)
             raise WorkerCallError("no answer")
         target.check(worker.id, order.fence)
+        target.sender = self._sender
         reply = target.start(order)
         if worker.id in self._world.lose_start_answers:
             await asyncio.sleep(timeout_s)
@@ -651,6 +712,7 @@
             target.check(worker.id, order.fence)
         except (WorkerFencedError, WorkerReplacedError):
             return
+        target.sender = self._sender
         target.start(order)
 
     async def stop(self, worker, *, task, run, fence, timeout_s):
