--- a/tests/test_one_vm_after_itself.py
+++ b/tests/test_one_vm_after_itself.py
@@ -159,6 +159,35 @@
     assert_that(tasks_twice_from_one_vm(world), Equals([]))
 
 
+@pytest.mark.parametrize("lost_before_s", [0.2, 0.5, 0.8, 1.1])
+@pytest.mark.parametrize("silent", [1, 3])
+async def test_a_job_sent_again_runs_once_beside_listed_workers_that_do_not_answer(
+    world: World, silent: int, lost_before_s: float
+):
+    # Guards against a second run: an entry is lost, then the owner, and the caller's resend comes
+    # to the next owner while a listed worker that runs the job answers nothing.
+    await world.open(zones="ab", entries=3, workers=3)
+    owner = world.owners()[0]
+    lost, caller = [name for name in sorted(world.nodes) if name != owner][:2]
+    for number in range(4):
+        submit(world, lost, f"job-{number}", count=2, run_ms=4000)
+    await asyncio.sleep(0.4)
+    world.kill_node(lost)
+    lost_at = world.loop.time()
+    await asyncio.sleep(lost_before_s)
+    hide_workers(world, "silent", *sorted(world.workers)[:silent])
+    world.kill_node(owner)
+    async with asyncio.timeout(3):
+        while not world.owners():
+            await asyncio.sleep(0.005)
+    await asyncio.sleep(max(lost_at + RESEND_AFTER_S - world.loop.time(), 0))
+    jobs = [submit(world, caller, f"job-{n}", count=2, run_ms=4000) for n in range(4)]
+    await asyncio.sleep(2.0)
+    world.heal()
+    await finish(jobs, within_s=30)
+    assert_that(world.overlaps, Equals([]))
+
+
 async def call_until_answered(
     world: World, draw: random.Random, job: JobRequest, *, resends: bool
 ) -> Outcome:
