--- a/tests/test_one_vm_after_itself.py
+++ b/tests/test_one_vm_after_itself.py
@@ -315,3 +315,48 @@
     await asyncio.sleep(2)
     assert_that(len(world.starts), GreaterThan(20))
     assert_that(tasks_twice_from_one_vm(world), Equals([]))
+
+
+async def test_a_job_sent_again_runs_once_if_its_stand_in_steps_down_and_stands_in_again(
+    world: World,
+):
+    # Guards against a second run: a stand-in steps down, stands in again under a higher token, and
+    # gets a job from a caller's resend that runs on a worker which answers nothing.
+    await world.open(entries=3, workers=3)
+    owner_zone = world.nodes[world.owners()[0]].me.zone
+    zone = next(zone for zone in "abc" if zone != owner_zone)
+    world.cut_zone(zone)
+    inside = [f"e-{zone}{number}" for number in (1, 2, 3)]
+    async with asyncio.timeout(3):
+        while not set(world.owners()) & set(inside):
+            await asyncio.sleep(0.005)
+    # Several may have stood in at once; the others follow the one with the highest token.
+    await asyncio.sleep(1.0)
+    stand_ins = sorted(set(world.owners()) & set(inside))
+    owner = max(stand_ins, key=lambda name: world.nodes[name].election.fence)
+    lost, caller = [name for name in inside if name != owner]
+    # It is about to shut down, so that it doesn't stand in itself.
+    world.nodes[caller].election.leaving = True
+    submit(world, lost, "job", count=2, run_ms=4000, objective_ms=20_000)
+    await asyncio.sleep(0.4)
+    busy = next(worker for worker in world.workers.values() if worker.runs)
+    for worker in world.workers.values():
+        if worker.info.zone == zone and worker is not busy:
+            worker.fence = world.nodes[owner].election.fence + 1
+    await asyncio.sleep(0.3)
+    world.kill_node(lost)
+    lost_at = world.loop.time()
+    async with asyncio.timeout(4):
+        while owner in world.owners():
+            await asyncio.sleep(0.005)
+    hide_workers(world, "silent", busy.info.id)
+    async with asyncio.timeout(4):
+        while not set(world.owners()) & set(inside):
+            await asyncio.sleep(0.005)
+    assert_that(world.owners(), Contains(owner))
+    await asyncio.sleep(max(lost_at + RESEND_AFTER_S - world.loop.time(), 0))
+    job = submit(world, caller, "job", count=2, run_ms=4000, objective_ms=20_000)
+    await asyncio.sleep(2.0)
+    world.heal()
+    await finish([job], within_s=30)
+    assert_that(tasks_twice_from_one_vm(world), Equals([]))
