Wait for the leases of entries that have just begun to follow the owner

A stand-in has the workers of a domain and renews the runs of a job that a caller of the rest of the pool waits for as well. The owner claims again and the stand-in closes; its last leases have a second to go, when the owner's own, older ones expire. The owner's claim was the newest by then and all entries followed it, so the loss was confirmed 32 ms later.

An acknowledgement under the present token says who is owner now, not who was up to a lease ago. The owner now notes since when each entry acknowledges its token, and a loss is confirmed only once that is a lease ago (1.37 s).

--- a/tests/test_leases_of_other_owners.py
+++ b/tests/test_leases_of_other_owners.py
@@ -353,3 +353,42 @@
     assert_that(world.nodes[successor].election.is_owner(), Equals(True))
     world.heal()
     await finish([blocking, job], within_s=20)
+
+
+@pytest.mark.parametrize("cut_before_heal_s", [0.6, 1.0, 1.1, 1.2])
+@pytest.mark.parametrize("callers", ["one", "two"])
+async def test_an_owner_that_claims_again_starts_no_task_that_a_stand_in_has_renewed(
+    world: World, cut_before_heal_s: float, callers: str
+):
+    # Guards against a second run: the stand-in has renewed the run until the owner claims again,
+    # and the owner's own leases expire after that, while the run still has those of the stand-in.
+    await world.open(zones="abc", entries=3, workers=2)
+    owner = world.owners()[0]
+    zone = next(zone for zone in "bca" if zone != world.nodes[owner].me.zone)
+    apart = [f"e-{zone}1", f"e-{zone}3"]
+    other_zones = {"a", "b", "c"} - {zone}
+    world.evacuate(*other_zones)
+    await asyncio.sleep(0.5)
+    entries = apart[:1] if callers == "one" else [apart[0], f"e-{zone}2"]
+    jobs = [submit(world, entry, f"job-{n}", **JOB) for n in range(4) for entry in entries]
+    await asyncio.sleep(0.5)
+    assert_that(len(world.starts_in(zone, since=0.0)), Equals(4))
+    world.restore(*other_zones)
+    await asyncio.sleep(0.5)
+    world.store_down_for = set(world.nodes)
+    for name in apart:
+        for other in set(world.nodes) - set(apart):
+            world.cut(name, other)
+    while len(world.owners()) < 2:
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(0.5)
+    assert_that(len(world.owners()), Equals(2))
+    workers = [name for name, worker in world.workers.items() if worker.info.zone == zone]
+    for worker_id in workers:
+        world.cut(owner, worker_id)
+    await asyncio.sleep(cut_before_heal_s)
+    world.store_down_for.clear()
+    world.cuts = {frozenset((owner, worker_id)) for worker_id in workers}
+    await asyncio.sleep(2.0)
+    world.heal()
+    await finish(jobs, within_s=30)
--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -21,7 +21,7 @@
 from zincwell.dispatch._configurations import ConfigurationManager
 from zincwell.dispatch._directory import EntryDirectory
 from zincwell.dispatch._domains import DomainMonitor
-from zincwell.dispatch._earlier_runs import EntryLoss
+from zincwell.dispatch._earlier_runs import LEASE_EXPIRY_MARGIN_S, EntryLoss
 from zincwell.dispatch._election import (
     LIVENESS_INTERVAL_S,
     SUSPECT_AFTER_S,
@@ -65,6 +65,7 @@
     Limits,
     Outcome,
 )
+from zincwell.dispatch._worker_calls import max_lease_s
 from zincwell.dispatch._worker_list import WorkerList
 from zincwell.dispatch._worker_reports import WorkerReports
 from zincwell.dispatch.decisions import (
@@ -228,7 +229,10 @@
             clock=self._clock,
         )
         self._term_confirmation = TermConfirmation(
-            store=self._store, directory=self._directory, get_election=lambda: self.election
+            store=self._store,
+            directory=self._directory,
+            get_election=lambda: self.election,
+            lease_s=max_lease_s(self._limits) + LEASE_EXPIRY_MARGIN_S,
         )
         self._start_reachability_monitoring()
         self._entries_feed = TopicFollower(
@@ -760,6 +764,7 @@
         self._check_owner_restart()
         if receipt.cell == self._cell_directory.home.name:
             self.election.note_receipt(receipt)
+            self._term_confirmation.note_following(receipt.receiver, receipt.fence)
         for cancel in receipt.cancelled:
             self._handle(receipt.receiver, cancel)
         if receipt.late and receipt.receiver.incarnation == link.peer.incarnation:
@@ -819,6 +824,7 @@
     def on_elected(self, fence: int, domain: str) -> None:
         """Act as owner, or as stand-in owner of one failure domain."""
         self._metrics.count("elections", f'domain="{domain}"')
+        self._term_confirmation.note_following(self.me, fence)
         self._owner_lag.begin_term(self._loop.time())
         self._domains.note_elected(was_owner=self._owner is not None)
         previous_workers = self._worker_reports.previous_workers()
