--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -33,6 +33,7 @@
     faults: int = 12,
     cores: float = 1.0,
     kinds: str | tuple[str, ...] = "",
+    tells_born: bool = True,
     logs: str = "",
     verbose: bool = False,
 ) -> None:
@@ -41,6 +42,7 @@
     :param first: seed of the first day; each next day has the next seed.
     :param cores: processor that entries say they have; 0.05 divides the pool into cells.
     :param kinds: faults to draw from, with commas between, such as ``drain_entry,cut_zone``.
+    :param tells_born: whether workers tell their start time.
     :param logs: folder for the logs of the entries of days that broke something.
     """
     level = logging.INFO if verbose else logging.CRITICAL
@@ -54,6 +56,7 @@
             faults=faults,
             cores=cores,
             kinds=_split(kinds),
+            tells_born=tells_born,
         )
         with tempfile.TemporaryDirectory(prefix="soak-") as name:
             result = play_day(plan, Path(name))
@@ -61,7 +64,10 @@
                 _keep(Path(name), Path(logs) / f"seed-{seed}")
         red += bool(result.broken)
         answers = " ".join(f"{k}:{v}" for k, v in sorted(result.answers_by_status.items()))
-        print(f"seed={seed} jobs={result.jobs} starts={result.starts} answers={answers}")
+        print(
+            f"seed={seed} jobs={result.jobs} starts={result.starts} answers={answers}"
+            f" owners_back={result.owners_back}"
+        )
         for line in result.broken:
             print(f"  {line}")
         sys.stdout.flush()
--- a/bench/soak/_checks.py
+++ b/bench/soak/_checks.py
@@ -5,6 +5,7 @@
 import math
 import time
 from collections import defaultdict
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -39,6 +40,37 @@
     done: set[int] = field(default_factory=set)
 
 
+@dataclass(frozen=True, kw_only=True)
+class ObservedRun:
+    """A run as its worker saw it begin.
+
+    :param fence: fencing token of the order that began it.
+    :param at: seconds since the epoch.
+    """
+
+    worker_id: str
+    number: int
+    fence: int
+    at: float
+
+    def describe(self, entries_by_fence: Mapping[int, str]) -> str:
+        """Return the run in words, with the entry whose order began it."""
+        entry = entries_by_fence.get(self.fence, "unknown")
+        return (
+            f"run {self.number} on {self.worker_id} at {self.at:.3f}"
+            f" from {entry} under fence {self.fence}"
+        )
+
+
+@dataclass(frozen=True, kw_only=True)
+class ConcurrentRuns:
+    """A run that began while others of its task were at work."""
+
+    task: str
+    run: ObservedRun
+    others: list[ObservedRun]
+
+
 class Checks:
     """Collects each broken promise as a line."""
 
@@ -50,7 +82,8 @@
         self.disturbed_at = time.monotonic()
         self.harmed_at = time.monotonic()
         self._started_at_by_job: dict[str, float] = {}
-        self._running_by_task: dict[str, list[tuple[str, int]]] = defaultdict(list)
+        self._running_by_task: dict[str, list[ObservedRun]] = defaultdict(list)
+        self._concurrent_runs: list[ConcurrentRuns] = []
 
     def fail(self, rule: str, text: str) -> None:
         """Note a broken promise."""
@@ -79,17 +112,23 @@
         job = self.jobs_by_id.get(task.split(".")[0])
         return (job.cpu, job.run_s) if job else (0, 0.1)
 
-    def note_start(self, worker: StandInWorker, task: str, number: int, spec: str) -> None:
-        """Check a start as the worker sees it."""
+    def note_start(
+        self, worker: StandInWorker, task: str, number: int, spec: str, *, fence: int = 0
+    ) -> None:
+        """Check a start as the worker sees it.
+
+        :param fence: fencing token of the order.
+        """
         self.starts += 1
         job_id, _, _, index = task.split(".")
         job = self.jobs_by_id.get(job_id)
         if job is None or spec != job.spec or int(index) >= job.count:
             self.fail("UNASKED", f"{task} run {number} on {worker.id}")
         running = self._running_by_task[task]
+        run = ObservedRun(worker_id=worker.id, number=number, fence=fence, at=time.time())
         if running:
-            self.fail("TWICE", f"{task} run {number} on {worker.id} beside {running}")
-        running.append((worker.id, number))
+            self._concurrent_runs.append(ConcurrentRuns(task=task, run=run, others=[*running]))
+        running.append(run)
         self._started_at_by_job[job_id] = time.monotonic()
         since = worker.draining_since
         if since and time.monotonic() - since > DRAIN_S and self.is_unharmed():
@@ -104,7 +143,11 @@
 
     def note_end(self, worker: StandInWorker, task: str, number: int, how: str) -> None:
         """Take note of an end at a worker."""
-        self._running_by_task[task].remove((worker.id, number))
+        self._running_by_task[task] = [
+            run
+            for run in self._running_by_task[task]
+            if (run.worker_id, run.number) != (worker.id, number)
+        ]
         job = self.jobs_by_id.get(task.split(".")[0])
         if job is not None and how == "done":
             job.done.add(int(task.rsplit(".", 1)[1]))
@@ -127,8 +170,14 @@
         """Note that an entry that nobody killed closed the connection without an answer."""
         self.fail("LOST", f"{job.id} at {entry}, {after_s:.2f} s after it was sent")
 
-    def finish(self) -> None:
-        """Check what is only known at the end."""
+    def finish(self, entries_by_fence: Mapping[int, str] | None = None) -> None:
+        """Check what is only known at the end.
+
+        :param entries_by_fence: the entry that each fencing token belongs to.
+        """
+        for found in self._concurrent_runs:
+            run, *others = (r.describe(entries_by_fence or {}) for r in [found.run, *found.others])
+            self.fail("TWICE", f"{found.task} {run} beside {' and '.join(others)}")
         for job in self.jobs_by_id.values():
             if job.refusals and job.refusals == job.sendings and self.has_started(job):
                 self.fail("REFUSED", f"{job.id}: all {job.sendings} sendings refused, and it ran")
--- a/bench/soak/_day.py
+++ b/bench/soak/_day.py
@@ -14,6 +14,7 @@
 
 from bench.soak._callers import Callers
 from bench.soak._checks import Checks
+from bench.soak._elections import Elections
 from bench.soak._entries import EntryProcess
 from bench.soak._faults import STORE, Faults, write_configuration
 from bench.soak._network import Network
@@ -27,6 +28,8 @@
 WARM_UP_S = 1.0
 # Time to recover after the last fault; the machine that plays the day may be busy.
 RECOVERY_S = 30.0
+# Runs of an earlier term on the same VM may be at work for about as long.
+OWNER_BACK_S = 3.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -37,6 +40,7 @@
     :param cores: processor that the entries say they have; with 0.05 the workers of each zone are a
         cell of their own.
     :param kinds: names of the methods of ``Faults`` to draw from; all if empty.
+    :param tells_born: whether workers tell their start time.
     """
 
     seed: int
@@ -45,16 +49,21 @@
     faults: int = 12
     cores: float = 1.0
     kinds: tuple[str, ...] = ()
+    tells_born: bool = True
 
 
 @dataclass(frozen=True, kw_only=True)
 class DayResult:
-    """What came of a day."""
+    """What came of a day.
+
+    :param owners_back: how often an entry became owner again within `OWNER_BACK_S`.
+    """
 
     broken: list[str]
     jobs: int
     starts: int
     answers_by_status: dict[str, int]
+    owners_back: int
 
 
 class Day:
@@ -66,12 +75,14 @@
         self._checks = Checks()
         self._network = Network()
         self._entries = self._make_entries(folder)
+        self._elections = Elections(folder=folder)
         self._workers = [
             StandInWorker(
                 name=f"worker-{number}",
                 zone=ZONES[number % len(ZONES)],
                 checks=self._checks,
                 random_numbers=self._random,
+                tells_born=plan.tells_born,
             )
             for number in range(plan.workers)
         ]
@@ -99,12 +110,13 @@
             self._network.close()
             for listener in listeners:
                 listener.close()
-        self._checks.finish()
+        self._checks.finish(self._elections.entries_by_fence())
         return DayResult(
             broken=self._checks.broken,
             jobs=len(self._checks.jobs_by_id),
             starts=self._checks.starts,
             answers_by_status=dict(self._checks.answers_by_status),
+            owners_back=self._elections.count_returns(within_s=OWNER_BACK_S),
         )
 
     def _make_entries(self, folder: Path) -> list[EntryProcess]:
@@ -128,6 +140,7 @@
             store=self._store,
             network=self._network,
             checks=self._checks,
+            elections=self._elections,
             random_numbers=self._random,
             kinds=self._plan.kinds,
         )
--- a/bench/soak/_faults.py
+++ b/bench/soak/_faults.py
@@ -11,6 +11,7 @@
 from collections.abc import Awaitable, Callable
 
 from bench.soak._checks import Checks
+from bench.soak._elections import Elections
 from bench.soak._entries import EntryProcess
 from bench.soak._network import Network
 from bench.soak._store import OPERATOR, SERVERS, StandInStore
@@ -26,6 +27,13 @@
 # The store drops the entry of a worker that has not reported for three intervals of 1.5 s.
 ENTRY_EXPIRY_S = 4.5
 PAUSE_S = (0.2, 4.0)
+# An election that takes longer is not waited for.
+ELECTION_TIMEOUT_S = 2.5
+ELECTION_POLL_S = 0.01
+# How long a successor is owner that is killed as well.
+SHORT_TERM_S = (0.0, 0.6)
+# Share of the answers of a worker that get lost, as on a poor link.
+LOST_ANSWER_SHARE = 0.15
 # What operators and workers do by plan excuses nothing.
 PLANNED = {"evacuate", "drain_worker", "resize_worker"}
 # What ends a process harms no other one.
@@ -50,6 +58,7 @@
         store: StandInStore,
         network: Network,
         checks: Checks,
+        elections: Elections,
         random_numbers: random.Random,
         kinds: tuple[str, ...] = (),
     ) -> None:
@@ -58,9 +67,12 @@
         self._store = store
         self._network = network
         self._checks = checks
+        self._elections = elections
         self._random = random_numbers
         self._version = 1
         self._busy: set[str] = set()
+        # Names of the workers that have lost the path to the store, and their list entries.
+        self._unlisted: set[str] = set()
         self._kinds: list[Callable[[], Awaitable[None]]] = [
             self.kill_entry,
             self.drain_entry,
@@ -152,6 +164,94 @@
         entry.resume()
         self._busy.discard(entry.name)
 
+    async def restart_owner(self) -> None:
+        """Kill the owner and start it at once; the others stand still until it is owner again.
+
+        Drawn only when it is asked for by name, like evacuations.
+        """
+        await self._wait_for_unlisted_workers()
+        owner = self._hold_all_entries()
+        if owner is None:
+            return
+        others = [entry for entry in self._entries if entry is not owner]
+        for entry in others:
+            entry.pause()
+        await owner.kill()
+        await owner.start()
+        await self._wait_for_election(lambda entry: entry == owner.name)
+        for entry in others:
+            entry.resume()
+        self._busy.clear()
+
+    async def owner_returns(self) -> None:
+        """Kill the owner and start it at once, then end its successor, beside workers in no list.
+
+        The one that started last is the first candidate. Drawn only when it is asked for by name,
+        like evacuations.
+        """
+        if not await self._wait_for_unlisted_workers():
+            return
+        owner = self._hold_all_entries()
+        if owner is None:
+            return
+        await owner.kill()
+        await owner.start()
+        successor = await self._wait_for_election(lambda entry: True)
+        if successor not in (None, owner):
+            await asyncio.sleep(self._random.uniform(*SHORT_TERM_S))
+            await (successor.drain() if self._random.random() < 0.5 else successor.kill())
+            await self._wait_for_election(lambda entry: entry != successor.name)
+            await successor.start()
+        self._busy.clear()
+
+    async def owner_regains_term(self) -> None:
+        """Let the owner stand still until another entry follows it, and that one likewise.
+
+        The first process is among the candidates of the second election. Drawn only when it is
+        asked for by name, like evacuations.
+        """
+        owner = self._hold_all_entries()
+        if owner is None:
+            return
+        owner.pause()
+        successor = await self._wait_for_election(lambda entry: entry != owner.name)
+        if successor is not None:
+            successor.pause()
+        owner.resume()
+        if successor is not None:
+            await self._wait_for_election(lambda entry: entry != successor.name)
+            successor.resume()
+        self._busy.clear()
+
+    async def _wait_for_unlisted_workers(self) -> bool:
+        """Wait until a worker has lost its list entry; return whether one has, after a while."""
+        deadline = time.monotonic() + ENTRY_EXPIRY_S
+        while not self._unlisted and time.monotonic() < deadline:
+            await asyncio.sleep(ELECTION_POLL_S)
+        return bool(self._unlisted)
+
+    def _hold_all_entries(self) -> EntryProcess | None:
+        """Return the owner, and keep other faults from all entries; None if one has an entry."""
+        newest = self._elections.newest()
+        if self._busy or newest is None:
+            return None
+        self._busy.update(entry.name for entry in self._entries)
+        return self._entry(newest.entry)
+
+    async def _wait_for_election(self, is_expected: Callable[[str], bool]) -> EntryProcess | None:
+        """Return the entry that is elected next, if it is an expected one; None after a while."""
+        before = self._elections.newest()
+        deadline = time.monotonic() + ELECTION_TIMEOUT_S
+        while time.monotonic() < deadline:
+            newest = self._elections.newest()
+            if newest is not None and newest != before and is_expected(newest.entry):
+                return self._entry(newest.entry)
+            await asyncio.sleep(ELECTION_POLL_S)
+        return None
+
+    def _entry(self, name: str) -> EntryProcess:
+        return next(entry for entry in self._entries if entry.name == name)
+
     async def hang_up(self) -> None:
         """Tell all entries that their settings have changed."""
         for entry in self._entries:
@@ -284,7 +384,9 @@
         await asyncio.sleep(ENTRY_EXPIRY_S)
         for worker in cut:
             self._store.put(SERVERS, worker.id, b"")
+        self._unlisted.update(worker.name for worker in cut)
         await self._last()
+        self._unlisted.difference_update(worker.name for worker in cut)
         for worker in cut:
             if worker.lives == lives_by_name[worker.name]:
                 self._list(worker)
@@ -327,6 +429,26 @@
         await self._last()
         worker.lost_start_share = 0.0
 
+    async def workers_lose_answers(self) -> None:
+        """Let answers of a third of the workers to any call get lost; the connections stay open.
+
+        Drawn only when it is asked for by name, like evacuations.
+        """
+        workers = self._random.sample(self._workers, len(self._workers) // 3)
+        for worker in workers:
+            worker.lost_answer_share = LOST_ANSWER_SHARE
+        await self._last()
+        for worker in workers:
+            worker.lost_answer_share = 0.0
+
+    async def cut_worker_one_way(self) -> None:
+        """Let nothing pass from a worker to the entries; calls reach it and are carried out.
+
+        Drawn only when it is asked for by name, like evacuations.
+        """
+        worker = self._random.choice(self._workers)
+        await self._cut({(worker.name, entry.name) for entry in self._entries})
+
     async def worker_starts_late(self) -> None:
         """Let a worker carry starts out late."""
         worker = self._random.choice(self._workers)
--- a/bench/soak/_worker.py
+++ b/bench/soak/_worker.py
@@ -15,6 +15,8 @@
 MAX_LEASE_MS = 1_000
 STOP_S = 0.04
 MAX_HOLD_WAIT_MS = 2_000
+# How long the connection of an answer that got lost stays open.
+LOST_ANSWER_S = 5.0
 
 
 @dataclass(eq=False)
@@ -34,10 +36,18 @@
 
     After a crash it gets another id. After a restart it keeps the id, and only its start time
     tells the incarnations apart.
+
+    :param tells_born: whether its records and answers have its start time.
     """
 
     def __init__(
-        self, *, name: str, zone: str, checks: Checks, random_numbers: random.Random
+        self,
+        *,
+        name: str,
+        zone: str,
+        checks: Checks,
+        random_numbers: random.Random,
+        tells_born: bool = True,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -48,7 +58,9 @@
         self.fails_all = False
         self.hangs = False
         self.lost_start_share = 0.0
+        self.lost_answer_share = 0.0
         self.late_start_s = 0.0
+        self._tells_born = tells_born
         self._checks = checks
         self._random = random_numbers
         self.be_born()
@@ -112,15 +124,25 @@
             "state": "draining" if self.draining_since else "ready",
             "capacity": {"cpu": self.cpu, "memMb": 100_000, "gpu": 0},
             "labels": ["a", f"rack-{self.zone}"],
-            "born": self.born_ms,
+            **self._incarnation(),
         }
 
+    def _incarnation(self) -> dict[str, int]:
+        return {"born": self.born_ms} if self._tells_born else {}
+
     def clock_ms(self) -> int:
         """Return the time on this worker's clock, which may be slow."""
         return int(time.monotonic() * 1000 * self._rate) + self._offset_ms
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Answer one call."""
+        """Answer one call, unless the answer gets lost."""
+        response = await self._answer(request)
+        if self.lost_answer_share and self._random.random() < self.lost_answer_share:
+            await asyncio.sleep(LOST_ANSWER_S)
+            _break_off(request)
+        return response
+
+    async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
         body = await request.json()
         if request.headers.get("Expect-Instance") not in (None, self.id):
             return web.Response(status=421)
@@ -166,7 +188,7 @@
         self._highest_by_task[task] = number
         run = StandInRun(task, number, cpu, time.monotonic(), needs_s)
         self._runs_by_task[task] = run
-        self._checks.note_start(self, task, number, body["spec"])
+        self._checks.note_start(self, task, number, body["spec"], fence=self._fence)
         if self.fails_all:
             self._end(run, "failed")
         elif not self.hangs:
@@ -202,7 +224,7 @@
         for run in self._runs_by_task.values():
             share = 0.0 if self.hangs else min(0.99, (now - run.began_at) / run.needs_s)
             running.append([run.task, run.number, "", int(share * 100)])
-        return self._reply({"running": running, "ended": self._ended, "born": self.born_ms})
+        return self._reply({"running": running, "ended": self._ended, **self._incarnation()})
 
     def _extend(self, deadline_ms: int) -> None:
         now_ms = self.clock_ms()
