--- a/bench/soak/_faults.py
+++ b/bench/soak/_faults.py
@@ -26,6 +26,8 @@
 LENGTH_S = (0.3, 5.0)
 # The store drops the entry of a worker that has not reported for three intervals of 1.5 s.
 ENTRY_EXPIRY_S = 4.5
+# Time after that; an entry that is no owner forgets workers that lapsed 5 s ago.
+LONG_CUT_S = (6.0, 10.0)
 PAUSE_S = (0.2, 4.0)
 # An election that takes longer is not waited for.
 ELECTION_TIMEOUT_S = 2.5
@@ -381,13 +383,23 @@
         They report again within one interval of the end of the cut. Drawn only when it is asked
         for by name, like evacuations.
         """
+        await self._cut_workers_from_store(LENGTH_S)
+
+    async def cut_workers_for_long(self) -> None:
+        """Let a third of the workers lose the path to the store until all have forgotten them.
+
+        Drawn only when it is asked for by name, like evacuations.
+        """
+        await self._cut_workers_from_store(LONG_CUT_S)
+
+    async def _cut_workers_from_store(self, length_s: tuple[float, float]) -> None:
         cut = self._random.sample(self._workers, len(self._workers) // 3)
         lives_by_name = {worker.name: worker.lives for worker in cut}
         await asyncio.sleep(ENTRY_EXPIRY_S)
         for worker in cut:
             self._store.put(SERVERS, worker.id, b"")
         self._unlisted.update(worker.name for worker in cut)
-        await self._last()
+        await asyncio.sleep(self._random.uniform(*length_s))
         self._unlisted.difference_update(worker.name for worker in cut)
         for worker in cut:
             if worker.lives == lives_by_name[worker.name]:
