--- a/bench/soak/_faults.py
+++ b/bench/soak/_faults.py
@@ -34,8 +34,8 @@
 ELECTION_POLL_S = 0.01
 # How long a successor is owner that is killed as well.
 SHORT_TERM_S = (0.0, 0.6)
-# Share of the answers of a worker that get lost, as on a poor link.
-LOST_ANSWER_SHARE = 0.15
+# Share of the calls to a worker that get lost, they or their answers, as on a poor link.
+LOST_CALL_SHARE = 0.15
 # What operators and workers do by plan excuses nothing.
 PLANNED = {"evacuate", "drain_worker", "resize_worker"}
 # What ends a process harms no other one.
@@ -443,17 +443,17 @@
         await self._last()
         worker.lost_start_share = 0.0
 
-    async def workers_lose_answers(self) -> None:
-        """Let answers of a third of the workers to any call get lost; the connections stay open.
+    async def workers_lose_calls(self) -> None:
+        """Let calls to a third of the workers or their answers get lost; connections stay open.
 
         Drawn only when it is asked for by name, like evacuations.
         """
         workers = self._random.sample(self._workers, len(self._workers) // 3)
         for worker in workers:
-            worker.lost_answer_share = LOST_ANSWER_SHARE
+            worker.lost_call_share = LOST_CALL_SHARE
         await self._last()
         for worker in workers:
-            worker.lost_answer_share = 0.0
+            worker.lost_call_share = 0.0
 
     async def cut_worker_one_way(self) -> None:
         """Let nothing pass from a worker to the entries; calls reach it and are carried out.
--- a/bench/soak/_worker.py
+++ b/bench/soak/_worker.py
@@ -15,8 +15,8 @@
 MAX_LEASE_MS = 1_000
 STOP_S = 0.04
 MAX_HOLD_WAIT_MS = 2_000
-# How long the connection of an answer that got lost stays open.
-LOST_ANSWER_S = 5.0
+# How long the connection of a call that got lost stays open.
+LOST_CALL_S = 5.0
 
 
 @dataclass(eq=False)
@@ -58,7 +58,7 @@
         self.fails_all = False
         self.hangs = False
         self.lost_start_share = 0.0
-        self.lost_answer_share = 0.0
+        self.lost_call_share = 0.0
         self.late_start_s = 0.0
         self._tells_born = tells_born
         self._checks = checks
@@ -135,11 +135,14 @@
         return int(time.monotonic() * 1000 * self._rate) + self._offset_ms
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Answer one call, unless the answer gets lost."""
-        response = await self._answer(request)
-        if self.lost_answer_share and self._random.random() < self.lost_answer_share:
-            await asyncio.sleep(LOST_ANSWER_S)
-            _break_off(request)
+        """Answer one call, unless the call or the answer gets lost."""
+        if not self.lost_call_share or self._random.random() >= self.lost_call_share:
+            return await self._answer(request)
+        response = web.Response(status=500)
+        if self._random.random() < 0.5:
+            response = await self._answer(request)
+        await asyncio.sleep(LOST_CALL_S)
+        _break_off(request)
         return response
 
     async def _answer(self, request: web.BaseRequest) -> web.StreamResponse:
