--- a/bench/soak/_elections.py
+++ b/bench/soak/_elections.py
@@ -44,6 +44,14 @@
         """Return the newest election of an owner of the whole pool."""
         return next((e for e in reversed(self.read()) if not e.zone), None)
 
+    def follows_newest(self, entry: str) -> bool:
+        """Return whether an entry has noticed the newest owner of the whole pool."""
+        newest = self.newest()
+        if newest is None:
+            return False
+        line = f"event=owner_followed owner={newest.entry} fence={newest.fence} "
+        return line in (self._folder / f"{entry}.log").read_text(errors="replace")
+
     def entries_by_fence(self) -> dict[int, str]:
         """Return the name of the entry that each fencing token belongs to."""
         return {election.fence: election.entry for election in self.read()}
--- a/bench/soak/_faults.py
+++ b/bench/soak/_faults.py
@@ -200,6 +200,7 @@
         await owner.start()
         successor = await self._wait_for_election(lambda entry: True)
         if successor not in (None, owner):
+            await self._wait_until(lambda: self._elections.follows_newest(owner.name))
             await asyncio.sleep(self._random.uniform(*SHORT_TERM_S))
             end = self._random.choice([successor.drain, successor.kill])
             ending = asyncio.create_task(end())
@@ -229,10 +230,16 @@
 
     async def _wait_for_unlisted_workers(self) -> bool:
         """Wait until a worker has lost its list entry; return whether one has, after a while."""
-        deadline = time.monotonic() + ENTRY_EXPIRY_S
-        while not self._unlisted and time.monotonic() < deadline:
+        return await self._wait_until(lambda: bool(self._unlisted), timeout_s=ENTRY_EXPIRY_S)
+
+    async def _wait_until(
+        self, is_reached: Callable[[], bool], *, timeout_s: float = ELECTION_TIMEOUT_S
+    ) -> bool:
+        """Wait for a condition; return whether it holds, after a while."""
+        deadline = time.monotonic() + timeout_s
+        while not is_reached() and time.monotonic() < deadline:
             await asyncio.sleep(ELECTION_POLL_S)
-        return bool(self._unlisted)
+        return is_reached()
 
     def _hold_all_entries(self) -> EntryProcess | None:
         """Return the owner, and keep other faults from all entries; None if one has an entry."""
@@ -245,13 +252,13 @@
     async def _wait_for_election(self, is_expected: Callable[[str], bool]) -> EntryProcess | None:
         """Return the entry that is elected next, if it is an expected one; None after a while."""
         before = self._elections.newest()
-        deadline = time.monotonic() + ELECTION_TIMEOUT_S
-        while time.monotonic() < deadline:
+
+        def is_elected() -> bool:
             newest = self._elections.newest()
-            if newest is not None and newest != before and is_expected(newest.entry):
-                return self._entry(newest.entry)
-            await asyncio.sleep(ELECTION_POLL_S)
-        return None
+            return newest is not None and newest != before and is_expected(newest.entry)
+
+        elected = await self._wait_until(is_elected)
+        return self._entry(self._elections.newest().entry) if elected else None
 
     def _entry(self, name: str) -> EntryProcess:
         return next(entry for entry in self._entries if entry.name == name)
