--- a/bench/soak/_checks.py
+++ b/bench/soak/_checks.py
@@ -85,9 +85,12 @@
         self._running_by_task: dict[str, list[ObservedRun]] = defaultdict(list)
         self._concurrent_runs: list[ConcurrentRuns] = []
 
-    def fail(self, rule: str, text: str) -> None:
-        """Note a broken promise."""
-        self.broken.append(f"{rule} at {time.time():.3f}: {text}")
+    def fail(self, rule: str, text: str, *, at: float | None = None) -> None:
+        """Note a broken promise.
+
+        :param at: when it was broken, in seconds since the epoch; now by default.
+        """
+        self.broken.append(f"{rule} at {time.time() if at is None else at:.3f}: {text}")
 
     def disturb(self, *, harms: bool) -> None:
         """Note that a fault begins or ends now.
@@ -143,11 +146,9 @@
 
     def note_end(self, worker: StandInWorker, task: str, number: int, how: str) -> None:
         """Take note of an end at a worker."""
-        self._running_by_task[task] = [
-            run
-            for run in self._running_by_task[task]
-            if (run.worker_id, run.number) != (worker.id, number)
-        ]
+        running = self._running_by_task[task]
+        ended = (worker.id, number)
+        running.remove(next(run for run in running if (run.worker_id, run.number) == ended))
         job = self.jobs_by_id.get(task.split(".")[0])
         if job is not None and how == "done":
             job.done.add(int(task.rsplit(".", 1)[1]))
@@ -175,9 +176,11 @@
 
         :param entries_by_fence: the entry that each fencing token belongs to.
         """
+        entries = entries_by_fence or {}
         for found in self._concurrent_runs:
-            run, *others = (r.describe(entries_by_fence or {}) for r in [found.run, *found.others])
-            self.fail("TWICE", f"{found.task} {run} beside {' and '.join(others)}")
+            others = " and ".join(run.describe(entries) for run in found.others)
+            text = f"{found.task} {found.run.describe(entries)} beside {others}"
+            self.fail("TWICE", text, at=found.run.at)
         for job in self.jobs_by_id.values():
             if job.refusals and job.refusals == job.sendings and self.has_started(job):
                 self.fail("REFUSED", f"{job.id}: all {job.sendings} sendings refused, and it ran")
