Let no stand-in start a task again whose run another owner may renew

A task ran twice at once under a stand-in: it loses a worker, the owner behind the cut has claimed again under a higher token, reaches that worker and renews the run. The stand-in confirmed the loss without asking anybody, as it has no claim. It can't know, so such a task waits until the stand-in is promoted or its term ends.

--- a/zincwell/dispatch/_term_confirmation.py
+++ b/zincwell/dispatch/_term_confirmation.py
@@ -80,14 +80,17 @@
 
         The claims are read from the store if needed. While it is unavailable, a majority of the
         entries of the cell must follow this owner: no entry claims the cell without a majority that
-        has lost contact with the owner, or the store. A stand-in has no claim to confirm.
+        has lost contact with the owner, or the store. A stand-in can't confirm its term, since the
+        owner behind the partition may reach some workers of its domain.
 
         :param since: event loop time.
         """
         election = self._get_election()
+        if election.domain:
+            return False
         if not all(self._follows(name, since, election.fence) for name in entries):
             return False
-        if election.domain or self._claims_read_at >= since:
+        if self._claims_read_at >= since:
             return True
         self._read_claims_soon(election)
         return self._claims_unread_at >= since and self._has_majority(since, election.fence)
