Treat the started jobs of a promoted owner as another owner's, and end lost ones

A task ran twice at once after an owner had claimed again: a stand-in had started it elsewhere meanwhile, and its first run was missing in its worker's list.

The confirmation of a loss made a job wait for ever if an entry that waits for it was gone, or as long as the store and half of the entries were. Losses are now reviewed whether there is room or not, and after 3 s the job ends with an unknown outcome. A loss is remembered if the job ends and comes again.

--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -57,6 +57,11 @@
 STARTUP_DELAY_S = 0.06
 # The oldest ends of tasks without an open job are forgotten beyond this number.
 MAX_UNCLAIMED_ENDS = 20_000
+# A job whose lost runs can't be confirmed to have ended for this long ends with an unknown outcome:
+# an entry that waits for it is gone, or neither the store nor most of the entries answer.
+LOSS_CONFIRMATION_TIMEOUT_S = 3.0
+# Jobs with runs that were given up are remembered up to this number, in case they come again.
+MAX_LOST_JOBS = 20_000
 # Interval between checks for jobs that can't be served and for unclaimed orphaned runs.
 REVIEW_INTERVAL_S = 0.02
 
@@ -182,6 +187,8 @@
         self._limits = limits
         # Ends "done" of tasks whose jobs are not known here, or not any more.
         self._unclaimed_ends: dict[TaskId, None] = {}
+        # Event loop time of the latest run that was given up on a silent worker, by job.
+        self._lost_at_by_job: dict[str, float] = {}
         self._end_reports = EndReports()
         self._loop = asyncio.get_running_loop()
         self._loss_detector = AnswerLossDetector()
@@ -258,16 +265,19 @@
         self.fence = fence
         self.domain = None
         self._earlier_runs.promote(loss=loss)
-        self._await_leases_of_lost_runs()
+        self._await_leases_of_others()
         self._renew_only_adopted = False
         self._workers.raise_fence(fence)
         self.resume()
 
-    def _await_leases_of_lost_runs(self) -> None:
-        """Wait for the leases that another owner has renewed while this one was not the owner."""
+    def _await_leases_of_others(self) -> None:
+        """Treat the open jobs as if another owner had them under the earlier token.
+
+        A stand-in may have adopted their runs, renewed them and moved them to other workers.
+        """
         for job in self.jobs.jobs_by_id.values():
-            if job.lost_at is not None:
-                job.lost_at = None
+            if job.started:
+                self._forget_loss(job)
                 job.possibly_started = True
                 job.accepted_at = self._loop.time()
 
@@ -365,9 +375,35 @@
             job.request.id,
             (self._loop.time() - job.lost_at) * 1000,
         )
-        job.lost_at = None
+        self._forget_loss(job)
         return True
 
+    def _note_loss(self, job_id: str) -> None:
+        """Remember that a run of a job was given up, also if the job ends and comes again."""
+        self._lost_at_by_job.pop(job_id, None)
+        self._lost_at_by_job[job_id] = self._loop.time()
+        if len(self._lost_at_by_job) > MAX_LOST_JOBS:
+            del self._lost_at_by_job[next(iter(self._lost_at_by_job))]
+        job = self.jobs.jobs_by_id.get(job_id)
+        if job is not None:
+            job.lost_at = self._lost_at_by_job[job_id]
+
+    def _forget_loss(self, job: Job) -> None:
+        job.lost_at = None
+        self._lost_at_by_job.pop(job.request.id, None)
+
+    def _review_losses(self, now: float) -> None:
+        """Confirm the runs that were given up, and end the jobs of which that takes too long."""
+        lost = [job for job in self.jobs.jobs_by_id.values() if job.lost_at is not None]
+        for job in lost:
+            if self._is_loss_confirmed(job):
+                self.on_capacity_available()
+            elif now - job.lost_at >= LOSS_CONFIRMATION_TIMEOUT_S:
+                log.warning("loss_unconfirmed job=%s", job.request.id)
+                reason = "runs of a lost worker may be active"
+                outcome = Outcome(verdict=Verdict.UNKNOWN, reason=reason)
+                self.jobs.end(job, outcome, remember=False)
+
     # -- jobs -------------------------------------------------------------------------------
 
     def submit(
@@ -414,6 +450,7 @@
         if job is None:
             self._update_job(request.id, entry, known)
             return
+        job.lost_at = self._lost_at_by_job.get(request.id)
         for task_id in known:
             self._mark_task_done(job, task_id)
         self._typical_task_cpu = max(job.smallest_cpu, 1)
@@ -635,6 +672,8 @@
     ) -> None:
         """Complete, retry or fail the task of a run that has ended on a worker."""
         self._runs.discard(run)
+        if cause is EndCause.LEASES_EXPIRED:
+            self._note_loss(run.task.job)
         self.on_capacity_available()
         job = self.jobs.jobs_by_id.get(run.task.job)
         task = job.task(run.task) if job is not None else None
@@ -676,8 +715,6 @@
             if task.failures >= job.request.attempts:
                 self.jobs.end(job, Outcome(verdict=Verdict.FAILED, reason="task failed"))
                 return
-        if cause is EndCause.LEASES_EXPIRED:
-            job.lost_at = self._loop.time()
         job.mark_waiting(task)
         self._enqueue(job)
 
@@ -805,9 +842,9 @@
             self._end_reports.finish_overdue(now)
             self._unservable_jobs.end_due(now)
             self._orphans.stop_due(now)
+            self._review_losses(now)
             awaits_certainty = any(
-                job.waiting
-                and (job.may_run_unseen() or job.may_be_resent or job.lost_at is not None)
+                (job.may_run_unseen() or job.may_be_resent) and job.waiting
                 for job in self.jobs.jobs_by_id.values()
             )
             if awaits_certainty or self._scheduler.starts_blocked:
