--- a/zincwell/dispatch/_term_confirmation.py
+++ b/zincwell/dispatch/_term_confirmation.py
@@ -79,9 +79,10 @@
         """Return whether no other owner can have had the jobs of some entries until a given time.
 
         The claims are read from the store if needed. While it is unavailable, a majority of the
-        entries of the cell must follow this owner: no entry claims the cell without a majority that
-        has lost contact with the owner, or the store. A stand-in can't confirm its term, since the
-        owner behind the partition may reach some workers of its domain.
+        entries of the cell must follow this owner, since a claim usually needs a majority without
+        contact to it. That is not certain: an entry that sees no liveness of the owner in the store
+        claims without one. A stand-in can't confirm its term, since the owner behind the partition
+        may reach some workers of its domain.
 
         :param since: event loop time.
         """
