Review: a task runs on two workers after all entries have ended in two batches

Cause: after a restart of all entries the new owner relies on the listed workers alone (`Node._entry_loss`, `EarlierRuns.may_be_hidden`), while the owner before went on renewing leases on workers that had lost the store and left the list.

The case: eight entries, ten workers. Two workers lose the path to the store for 5 s and leave the list. The entry with the callers loses power, the other seven are killed 0.8 s later and start again 0.1 s after that. The callers send their jobs again 1.3 s after their channels broke. Their tasks start on other workers while the first runs are still at work.

--- a/review/standins2/platform2.py
+++ b/review/standins2/platform2.py
@@ -23,6 +23,8 @@
 WORKER_CPU = 64_000
 WORKER_MEMORY_MB = 131_072
 BEAT_S = 1.5
+# The store drops the entry of a worker after this many intervals of silence.
+MAX_SILENT_BEATS = 3
 
 Note = Callable[..., None]
 
@@ -147,6 +149,8 @@
         self._ended: list[list] = []
         self._ends = 0
         self._beats = 0
+        self.cut_from_store = False
+        self.last_beat_at = 0.0
         self._changed = asyncio.Event()
 
     async def open(self) -> asyncio.AbstractServer:
@@ -172,9 +176,16 @@
         return json.dumps(entry).encode()
 
     async def beat(self, store: Store) -> None:
-        """Report to the store until cancelled."""
+        """Report to the store until cancelled, as far as it can be reached."""
+        listed = False
         while True:
-            store.put(SERVERS, self.id, self.document())
+            if not self.cut_from_store:
+                store.put(SERVERS, self.id, self.document())
+                listed, self.last_beat_at = True, time.monotonic()
+            elif listed and time.monotonic() - self.last_beat_at >= MAX_SILENT_BEATS * BEAT_S:
+                store.put(SERVERS, self.id, b"")
+                listed = False
+                self._note("unlisted", worker=self.name)
             await asyncio.sleep(BEAT_S)
 
     def _clock_ms(self) -> int:
