--- a/review/standins2/pool.py
+++ b/review/standins2/pool.py
@@ -243,6 +243,8 @@
         self.links = Links()
         self.store = Store()
         self.spec_by_step: dict[str, tuple[int, float]] = {}
+        # Time from the start of all processes until each of them accepts callers.
+        self.listen_s = 0.0
         pid = os.getpid()
         network = f"127.{pid >> 8 & 0x7F | 0x80}.{pid & 0xFF}"
         self.entries = [
@@ -287,14 +289,21 @@
             )
             self._servers.append(server)
             entry.write_settings(advertised=advertised, store=store)
+        started_at = time.monotonic()
         await asyncio.gather(*(entry.start() for entry in self.entries))
         async with asyncio.timeout(START_LIMIT_S):
+            await asyncio.gather(*(self._wait_until_listening(entry) for entry in self.entries))
+            self.listen_s = time.monotonic() - started_at
             for entry in self.entries:
                 while (await call(entry.ready, "GET", "/v1/ready", timeout_s=1.0))[0] != 200:
                     await asyncio.sleep(0.1)
         await asyncio.sleep(SETTLE_S)
         self.record.note("ready", entries=len(self.entries), workers=len(self.workers))
 
+    async def _wait_until_listening(self, entry: Entry) -> None:
+        while not (await call(entry.callers, "GET", "/", timeout_s=1.0))[0]:
+            await asyncio.sleep(0.02)
+
     def configure(self, *, version: int) -> None:
         """Write a configuration as the operator does."""
         routes = [
