--- a/review/standins2/pool.py
+++ b/review/standins2/pool.py
@@ -200,7 +200,6 @@
         environment = {
             "PATH": os.environ["PATH"],
             "PYTHONPATH": str(ROOT / "target/deps"),
-            "PYTHONDONTWRITEBYTECODE": "1",
             "ZINCWELL_CONFIG": str(self._settings),
         }
         with self.log.open("ab") as log:
@@ -301,8 +300,14 @@
         self.record.note("ready", entries=len(self.entries), workers=len(self.workers))
 
     async def _wait_until_listening(self, entry: Entry) -> None:
-        while not (await call(entry.callers, "GET", "/", timeout_s=1.0))[0]:
-            await asyncio.sleep(0.02)
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(*entry.callers)
+            except OSError:
+                await asyncio.sleep(0.02)
+            else:
+                writer.close()
+                return
 
     def configure(self, *, version: int) -> None:
         """Write a configuration as the operator does."""
