Count a failure in the line that tells of it

run_ended wrote failures= before the failure was counted, so a second failure read failures=1. The test failed before with 0 and 1 in place of 1 and 2.

--- a/tests/test_start_logs.py
+++ b/tests/test_start_logs.py
@@ -84,3 +84,14 @@
         lines(caplog, "earlier_runs_excluded")[0],
         MatchesRegex(r".* job=job-\d by=all_workers_held waited_ms=\d+$"),
     )
+
+
+async def test_a_failed_run_is_logged_with_its_own_failure_counted(
+    world: World, caplog: pytest.LogCaptureFixture
+):
+    # Guards against a log that reads as if an earlier run of the task had failed.
+    await world.open(zones="a", entries=1, workers=2)
+    world.workers["w-a1"].fails_all = world.workers["w-a2"].fails_all = True
+    await finish([submit(world, "e-a1", "job", count=1)])
+    counts = [re.search(r"failures=(\d+)$", line).group(1) for line in lines(caplog, "run_ended")]
+    assert_that(counts[:2], Equals(["1", "2"]))
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -689,6 +689,7 @@
             job.mark_done(task)
             self._report_ends(job, set(job.waiting_entries), [task.id])
             return
+        task.failures += outcome is RunOutcome.FAILED
         log.info(
             "run_ended job=%s task=%s run=%d worker=%s fate=%s cause=%s failures=%d",
             run.task.job,
@@ -710,7 +711,6 @@
             task.moves += 1
             task.avoided_workers.add(session.info.id)
         if outcome is RunOutcome.FAILED:
-            task.failures += 1
             task.avoided_workers.add(session.info.id)
             if task.failures >= job.request.attempts:
                 self.jobs.end(job, Outcome(verdict=Verdict.FAILED, reason="task failed"))
