--- a/tests/test_start_logs.py
+++ b/tests/test_start_logs.py
@@ -95,3 +95,18 @@
     await finish([submit(world, "e-a1", "job", count=1)])
     counts = [re.search(r"failures=(\d+)$", line).group(1) for line in lines(caplog, "run_ended")]
     assert_that(counts[:2], Equals(["1", "2"]))
+
+
+async def test_a_run_that_its_worker_leaves_out_is_logged_with_what_is_known_of_it(
+    world: World, caplog: pytest.LogCaptureFixture
+):
+    await world.open(zones="a", entries=1, workers=2)
+    job = submit(world, "e-a1", "job", count=2, run_ms=600)
+    await asyncio.sleep(0.1)
+    for worker in world.workers.values():
+        worker.lose_runs()
+    await finish([job])
+    fields = r"run=\d+ asked_ms=\d+ confirmed_ms=\d+ voided_ms=\d* missing=[12]$"
+    found = lines(caplog, "run_missing")
+    assert_that(found[0], MatchesRegex(r"run_missing worker=w-a\d task=job\.0\.\d " + fields))
+    assert_that(len(found) >= 2, Equals(True))
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -718,6 +718,10 @@
         job.mark_waiting(task)
         self._enqueue(job)
 
+    def on_run_missing(self) -> None:
+        """Count a run that a worker does not list and has not reported as ended."""
+        self._metrics.count("runs_missing")
+
     def may_order_again(self, session: WorkerSession, task: TaskId) -> bool:
         """Return whether a start order may be sent again, also after a restart of the worker."""
         job = self.jobs.jobs_by_id.get(task.job)
--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -81,6 +81,10 @@
     ) -> None:
         """Handle the end of a run on the worker."""
 
+    @abc.abstractmethod
+    def on_run_missing(self) -> None:
+        """Count a run that a worker does not list and has not reported as ended."""
+
     @abc.abstractmethod
     def may_order_again(self, session: WorkerSession, task: TaskId) -> bool:
         """Return whether a start order may be sent again, also after a restart of the worker."""
@@ -764,15 +768,40 @@
         for row in reply.running:
             listed.add(row.task)
             self._note_active_run(row, reply.clock_ms, now)
-        for run in list(self.runs.values()):
-            if run.task not in listed and self._is_run_gone(run, reply.clock_ms, sent_at):
-                self._handle_missing_run(run)
+        missing = [
+            run
+            for run in self.runs.values()
+            if run.task not in listed and self._is_run_gone(run, reply.clock_ms, sent_at)
+        ]
+        for run in missing:
+            self._log_missing_run(run, sent_at, missing=len(missing))
+            self._handle_missing_run(run)
         for task in list(self.orphaned_runs):
             if task not in listed:
                 del self.orphaned_runs[task]
         self._void_earlier_orders()
         self._observer.on_progress_reported(self, reply.clock_ms)
 
+    def _log_missing_run(self, run: Run, sent_at: float, *, missing: int) -> None:
+        """Log what is known of a run that the worker does not list and has not reported as ended.
+
+        :param sent_at: when the list was asked for.
+        :param missing: number of such runs in the list.
+        """
+        now = self._loop.time()
+        log.info(
+            "run_missing worker=%s task=%s run=%d asked_ms=%d confirmed_ms=%s voided_ms=%s"
+            " missing=%d",
+            self.info.id,
+            run.task,
+            run.number,
+            (now - sent_at) * 1000,
+            _format_age_ms(run.confirmed_at, now),
+            _format_age_ms(run.voided_at, now),
+            missing,
+        )
+        self._observer.on_run_missing()
+
     def _handle_missing_run(self, run: Run) -> None:
         """Handle a run that the worker neither reports nor can start by an order that it refuses.
 
@@ -904,6 +933,10 @@
         self._observer.on_fenced(self)
 
 
+def _format_age_ms(at: float | None, now: float) -> str:
+    return "" if at is None else str(int((now - at) * 1000))
+
+
 def _outcome_of(kind: EndKind) -> RunOutcome:
     if kind is EndKind.DONE:
         return RunOutcome.DONE
