Reproduce two runs of a task within one term by a worker's list

Cause: a list that leaves out a run counts as its end, although nothing says that it has ended. Such lists come from a worker that lists a run some time after its start, or its end some time after the run has left the list, that hides runs which it is stopping, or whose answer lacks the field `running`.

The simulated workers can now do all of this; without these switches they behave as before.

--- a/tests/dispatch_world.py
+++ b/tests/dispatch_world.py
@@ -113,11 +113,28 @@
     # Progress at the time of the last change of the worker's speed, and that time.
     share_before: float = 0.0
     changed_at: float | None = None
+    # Whether it has left the list of active runs although its end is not listed yet.
+    left_list: bool = False
+    stopping: bool = False
 
 
 @dataclass
 class FakeWorker:
-    """A worker with a fencing token, one lease for all its runs and a list of ended runs."""
+    """A worker with a fencing token, one lease for all its runs and a list of ended runs.
+
+    A run counts as at work, and occupies its capacity, until the worker lists its end.
+
+    :ivar answers_at_once: polls are answered without waiting for an end, as when runs end often.
+    :ivar list_delay_s: a run is listed as active only this long after its start.
+    :ivar end_delay_s: a run leaves the list of active runs this long before its end is listed.
+    :ivar works_until_end_is_listed: with ``end_delay_s``, whether the work ends when the end is
+        listed, rather than when the run leaves the list.
+    :ivar hides_stopping: a run that is being stopped is not listed as active any more.
+    :ivar omits_running: answers to polls list no active runs.
+    :ivar ends_per_reply: maximum number of ends in one answer.
+    :ivar reverses_ends: the ends in an answer are listed from the newest to the oldest.
+    :ivar address_taken: another process answers at the worker's address, while its runs continue.
+    """
 
     world: World
     info: WorkerInfo
@@ -136,12 +153,22 @@
     clock_offset_ms: int = 5_000
     # Of the order that is executed now, or was last.
     sender: Sender = NO_ENTRY
+    answers_at_once: bool = False
+    list_delay_s: float = 0.0
+    end_delay_s: float = 0.0
+    works_until_end_is_listed: bool = False
+    hides_stopping: bool = False
+    omits_running: bool = False
+    ends_per_reply: int | None = None
+    reverses_ends: bool = False
+    address_taken: bool = False
+    stop_s: float = STOP_LATENCY_S
 
     def clock_ms(self) -> int:
         return int(self.world.loop.time() * 1000) + self.clock_offset_ms
 
     def check(self, worker_id: str, fence: int) -> None:
-        if worker_id != self.info.id:
+        if worker_id != self.info.id or self.address_taken:
             raise WorkerReplacedError(worker_id)
         if fence < self.fence:
             raise WorkerFencedError(worker_id)
@@ -185,6 +212,8 @@
         run = FakeRun(order.task, order.run, self.world.loop.time(), None, recorded)
         self.runs[order.task] = run
         if not self.hangs:
+            if self.works_until_end_is_listed:
+                run_s -= self.end_delay_s
             run.end_timer = self.world.loop.call_later(run_s, self.end, run, kind)
         return StartReply(status=StartStatus.STARTED, clock_ms=self.clock_ms())
 
@@ -192,9 +221,23 @@
         self.highest_run_by_task[task] = max(self.highest_run_by_task.get(task, 0), number)
         run = self.runs.get(task)
         if run is not None and run.number <= number:
-            self.world.loop.call_later(STOP_LATENCY_S, self.end, run, EndKind.STOPPED)
+            run.stopping = True
+            # With ``end_delay_s``, its end is listed by then all the same.
+            leaves_after_s = max(self.stop_s - self.end_delay_s, 0.0)
+            self.world.loop.call_later(leaves_after_s, self.leave_list, run)
+            self.world.loop.call_later(self.stop_s, self.list_end, run, EndKind.STOPPED)
 
     def end(self, run: FakeRun, kind: EndKind) -> None:
+        if not self.end_delay_s or kind is EndKind.LAPSED:
+            self.list_end(run, kind)
+            return
+        self.leave_list(run)
+        self.world.loop.call_later(self.end_delay_s, self.list_end, run, kind)
+
+    def leave_list(self, run: FakeRun) -> None:
+        run.left_list = run.left_list or self.end_delay_s > 0
+
+    def list_end(self, run: FakeRun, kind: EndKind) -> None:
         if self.runs.get(run.task) is not run:
             return
         del self.runs[run.task]
@@ -214,7 +257,7 @@
                 self.world.acknowledged_tasks.add(row.task)
                 self.world.acknowledged_at.setdefault(row.task, self.world.loop.time())
         self.ended = [row for row in self.ended if row.number > acknowledged]
-        if wait_s and not self.ended:
+        if wait_s and not self.ended and not self.answers_at_once:
             self.changed.clear()
             try:
                 async with asyncio.timeout(wait_s):
@@ -227,10 +270,18 @@
         rows = [
             ActiveRun(task=r.task, run=r.number, percent=self.percent(r, now))
             for r in self.runs.values()
+            if self.lists(r, now)
         ]
-        return HoldReply(
-            clock_ms=self.clock_ms(), running=rows, ended=list(self.ended), born_ms=born_ms
-        )
+        ended = self.ended[: self.ends_per_reply]
+        if self.reverses_ends:
+            ended.reverse()
+        return HoldReply(clock_ms=self.clock_ms(), running=rows, ended=ended, born_ms=born_ms)
+
+    def lists(self, run: FakeRun, now: float) -> bool:
+        """Return whether a run is listed as active."""
+        if self.omits_running or run.left_list or (self.hides_stopping and run.stopping):
+            return False
+        return now >= run.started_at + self.list_delay_s
 
     def percent(self, run: FakeRun, now: float) -> float:
         if self.hangs:
