End a run by a report, a refusal or its leases, not by its absence in a list

Callers saw a task at work twice, both times started by one owner in its first term: the second run of the same task began some milliseconds after the first, on another worker, all young runs of a worker at once.

Cause: a list of runs that left a run out counted as its end. For a confirmed run one list was enough; for an unconfirmed one a list after the deadline of its order, or right after the answer to a stop order, which may take 50 ms to take effect.

Now a run that a list leaves out is in doubt. It is asked for once more, 50 ms later if it was confirmed, and then stopped. It counts as ended if a list that was asked for after the stop order was answered and the time for a stop has passed does not name it. The same for orphaned runs and for runs that are being stopped. Ends are taken in the order of their numbers, missing runs are not judged while a list of ends is full, and a session is not closed before its leases have expired. What belongs to runs in doubt is in a module of its own; WorkerSession lost what it had of it.

Weighed and not taken: to wait for the lease when another process answers at the worker's address.

--- a/tests/test_start_logs.py
+++ b/tests/test_start_logs.py
@@ -106,7 +106,7 @@
     for worker in world.workers.values():
         worker.lose_runs()
     await finish([job])
-    fields = r"run=\d+ asked_ms=\d+ confirmed_ms=\d+ voided_ms=\d* missing=[12]$"
+    fields = r"run=\d+ asked_ms=\d+ confirmed_ms=\d+ refused_ms=\d* missing=[12]$"
     found = lines(caplog, "run_missing")
     assert_that(found[0], MatchesRegex(r"run_missing worker=w-a\d task=job\.0\.\d " + fields))
     assert_that(len(found) >= 2, Equals(True))
--- a/zincwell/dispatch/_background.py
+++ b/zincwell/dispatch/_background.py
@@ -23,8 +23,8 @@
         # the order of cancellation would differ from run to run.
         self._tasks: dict[asyncio.Task, None] = {}
 
-    def spawn(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        """Start a task that runs a coroutine."""
+    def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
+        """Start a task that runs a coroutine, whose result is not used."""
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks[task] = None
         task.add_done_callback(self._on_task_done)
--- a/zincwell/dispatch/_runs.py
+++ b/zincwell/dispatch/_runs.py
@@ -41,9 +41,10 @@
 
     ``REPORTED``: the worker has listed its end. ``REFUSED``: the worker has refused its start
     order. ``FENCED``: the same, under a fencing token that is too low. ``NOT_LISTED``: it was
-    confirmed, and a later list of the worker does not name it. ``NEVER_LISTED``: it was not, and
-    the worker refuses its order from now on. ``LEASES_EXPIRED``: the worker is silent, and no lease
-    can be in force. ``REPLACED``: another process has taken the worker's address.
+    confirmed, the worker does not list it, and has refused it for longer than a stop takes.
+    ``NEVER_LISTED``: the same, but it was never confirmed. ``RESTARTED``: the worker has restarted
+    since it was confirmed. ``LEASES_EXPIRED``: the worker is silent, and no lease can be in force.
+    ``REPLACED``: another process has taken the worker's address.
     """
 
     REPORTED = enum.auto()
@@ -51,6 +52,7 @@
     FENCED = enum.auto()
     NOT_LISTED = enum.auto()
     NEVER_LISTED = enum.auto()
+    RESTARTED = enum.auto()
     LEASES_EXPIRED = enum.auto()
     REPLACED = enum.auto()
 
@@ -83,9 +85,12 @@
     :param spec: what the task has to do, as its caller described it.
     :param orders_sent: how often its start order was sent.
     :param answered: whether the start call has returned or failed.
-    :param voided_at: when the worker was told to refuse it, or None.
+    :param refused_since: when the worker first answered a stop order of it, or None.
+    :param missing: whether the worker's newest list leaves it out.
     :param carried: whether it was ordered to an earlier incarnation of the worker, so that the
         present one may neither know the order nor refuse it past its deadline.
+    :param ended_with_incarnation: whether an earlier incarnation of the worker has confirmed it,
+        and the present one has not listed it.
     :param started_ms: when it was first known to be active, or None.
     :param first_percent: its progress at ``started_ms``.
     :param last_progress_ms: when its latest progress was first reported.
@@ -109,10 +114,12 @@
     spec: str = ""
     orders_sent: int = 0
     answered: bool = False
-    voided_at: float | None = None
+    refused_since: float | None = None
+    missing: bool = False
     stopping: bool = False
     stop_sent_at: float = 0.0
     carried: bool = False
+    ended_with_incarnation: bool = False
     started_ms: int | None = None
     first_percent: float = 0.0
     percent: float = 0.0
@@ -133,7 +140,9 @@
     def carry_over(self) -> None:
         """Forget what depends on the worker's earlier incarnation: its clock and its refusals."""
         self.carried = True
-        self.voided_at = None
+        self.ended_with_incarnation = self.confirmed_at is not None
+        self.refused_since = None
+        self.missing = False
         self.started_ms = None
         self.first_percent = self.percent = 0.0
         self.recent_rate = self.best_rate = None
--- a/zincwell/dispatch/_types.py
+++ b/zincwell/dispatch/_types.py
@@ -13,6 +13,7 @@
 
     :param max_lease_s: longest lease that a worker grants.
     :param thaw_slack_s: how long a worker may go on past its lease when it resumes after a pause.
+    :param stop_timeout_s: how long a run may be active after its stop order was answered.
     :param drain_grace_s: time between SIGTERM and SIGKILL.
     :param leave_notice_s: how long a worker may still receive tasks after it has announced its
         shutdown.
@@ -21,6 +22,7 @@
 
     max_lease_s: float = 1.0
     thaw_slack_s: float = 0.3
+    stop_timeout_s: float = 0.05
     drain_grace_s: float = 6.0
     leave_notice_s: float = 2.0
     report_interval_s: float = 1.5
--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -11,6 +11,7 @@
 from zincwell.dispatch._background import BackgroundTasks
 from zincwell.dispatch._end_reports import EndAcknowledgements
 from zincwell.dispatch._runs import EndCause, Run, RunOutcome
+from zincwell.dispatch._runs_in_doubt import RunsInDoubt
 from zincwell.dispatch._types import Limits, TaskId, WorkerInfo
 from zincwell.dispatch._unanswered_orders import MAX_ORDER_DELAY_S, SentOrder, UnansweredOrders
 from zincwell.dispatch._worker_calls import HOLD_WAIT_S, WorkerCalls, WorkerRestartedError
@@ -196,7 +197,6 @@
         self._unanswered_orders = unanswered_orders
         # Orders to earlier incarnations whose tasks must not start here, as task and run number.
         self._orders_to_void: dict[tuple[TaskId, int], None] = {}
-        self._runs_being_voided: set[Run] = set()
         self._leaves_orders_unanswered = False
         self._closed = False
         self._loop = asyncio.get_running_loop()
@@ -205,6 +205,15 @@
         self._unlisted_at = 0.0
         self._retry = asyncio.Event()
         self._tasks = BackgroundTasks()
+        self._runs_in_doubt = RunsInDoubt(
+            worker_id=info.id,
+            is_known=lambda run: self.runs.get(run.task) is run,
+            poll=self._poll_once,
+            stop=self._stop_run,
+            on_missing=observer.on_run_missing,
+            stop_timeout_s=limits.stop_timeout_s,
+            tasks=self._tasks,
+        )
 
     # -- lifecycle --------------------------------------------------------------------------
 
@@ -282,6 +291,8 @@
         """
         if self._listed or self.runs or not self.silent:
             return False
+        if not self._calls.have_leases_expired():
+            return False
         timeout_s = DRAINED_TIMEOUT_S if self.info.draining else UNLISTED_TIMEOUT_S
         return self.replaced or self._loop.time() - self._unlisted_at > timeout_s
 
@@ -388,24 +399,29 @@
             and self._loop.time() < long_poll_until
             and self.runs
         ):
-            self._tasks.spawn(self._renew_leases())
+            self._tasks.spawn(self._poll_once())
 
-    async def _renew_leases(self) -> None:
+    async def _poll_once(self) -> bool:
+        """Poll the worker beside the polls that follow each other; return whether it answered."""
         try:
             await self._hold(0.0)
+            return True
         except WorkerFencedError:
             self._handle_fenced()
+        except WorkerReplacedError:
+            self._handle_replaced()
         except WorkerRestartedError as error:
             self._observer.on_newer_incarnation(self, error.born_ms)
-        except (WorkerCallError, WorkerReplacedError) as error:
+        except WorkerCallError as error:
             # The open long poll meets the same error and handles the runs.
             log.info('hold_unanswered worker=%s error="%s"', self.info.id, error)
+        return False
 
     def stop(self, run: Run) -> None:
         """Stop a run. Its capacity stays reserved until the worker reports its end."""
         run.stopping = True
         run.stop_sent_at = self._loop.time()
-        self._tasks.spawn(self._stop(run.task, run.number))
+        self._tasks.spawn(self._stop_run(run))
 
     def stop_orphaned_run(self, task: TaskId, number: int) -> None:
         """Stop a run that belongs to no job of this owner."""
@@ -413,7 +429,7 @@
 
     def adopt(self, run: Run) -> None:
         """Take over a run that a previous owner started."""
-        self.orphaned_runs.pop(run.task, None)
+        self._forget_orphaned_run(run.task)
         run.confirmed_at = self._loop.time()
         run.answered = True
         self._calls.assume_renewed()
@@ -501,11 +517,10 @@
         if self._loop.time() - due_at > MAX_LOOP_LAG_S:
             self._schedule_start_check(run)
         elif not self._may_restart_under_its_id:
-            self._tasks.spawn(self._resolve_start(run))
+            self._runs_in_doubt.resolve(run)
         elif run.stopping:
             self._schedule_start_check(run)
-            if run not in self._runs_being_voided:
-                self._tasks.spawn(self._resolve_start(run))
+            self._runs_in_doubt.resolve(run)
         else:
             self._order_again(run)
 
@@ -543,34 +558,6 @@
             and self._observer.may_order_again(self, run.task)
         )
 
-    async def _resolve_start(self, run: Run) -> None:
-        """Determine the outcome of a start order without an answer.
-
-        A lost order may still be executed until its deadline, so a task of 60 ms would wait for
-        400 ms. If the worker does not report the run, it is sent a stop order. From then on it
-        refuses the run, and the task can start elsewhere. With one order in fifteen lost, jobs of
-        several tasks would spend most of their waiting time on this.
-        """
-        self._runs_being_voided.add(run)
-        try:
-            await self._hold(0.0)
-            if run.confirmed_at is not None or self.runs.get(run.task) is not run:
-                return
-            await self._calls.stop(run.task, run.number)
-            run.voided_at = self._loop.time()
-            log.info("start_voided worker=%s task=%s run=%d", self.info.id, run.task, run.number)
-            await self._hold(0.0)
-        except WorkerFencedError:
-            self._handle_fenced()
-        except WorkerRestartedError as error:
-            self._observer.on_newer_incarnation(self, error.born_ms)
-        except WorkerReplacedError:
-            self._handle_replaced()
-        except WorkerCallError as error:
-            log.info('start_in_doubt worker=%s task=%s error="%s"', self.info.id, run.task, error)
-        finally:
-            self._runs_being_voided.discard(run)
-
     def _void_earlier_orders(self) -> None:
         """Let the worker refuse the orders to earlier incarnations that are not to run here.
 
@@ -607,6 +594,14 @@
         elif not self._unanswered_orders.may_start(run.task):
             self._remove_run(run, RunOutcome.NOT_STARTED, EndCause.REFUSED)
 
+    async def _stop_run(self, run: Run) -> bool:
+        """Send a stop order of a run; return whether the worker has answered it."""
+        if not await self._stop(run.task, run.number):
+            return False
+        if run.refused_since is None:
+            run.refused_since = self._loop.time()
+        return True
+
     async def _stop(self, task: TaskId, number: int) -> bool:
         """Send a stop order; return whether the worker has answered it."""
         try:
@@ -657,7 +652,8 @@
         if self._loop.time() - self.last_answer_at > HELD_TIMEOUT_S:
             self.held = False
         # The owner that a worker follows instead may renew the leases of its runs.
-        if self.runs and not self.fenced and self._calls.have_leases_expired():
+        has_runs = self.runs or self.orphaned_runs
+        if has_runs and not self.fenced and self._calls.have_leases_expired():
             self._abandon_expired_runs()
 
     def _handle_poll_failure(self) -> None:
@@ -757,50 +753,45 @@
 
     def _apply_reply(self, reply: HoldReply, sent_at: float) -> None:
         now = self._loop.time()
-        for row in reply.ended:
+        for row in sorted(reply.ended, key=lambda row: row.number):
             if row.number > self._ends.processed:
                 self._process_end(row)
         self._calls.acknowledged = self._ends.acknowledged()
         if not self._calls.clock.update(reply.clock_ms):
             # A later answer arrived first on another connection, so this list of runs is stale.
             return
-        listed = set()
         for row in reply.running:
-            listed.add(row.task)
             self._note_active_run(row, reply.clock_ms, now)
-        missing = [
-            run
-            for run in self.runs.values()
-            if run.task not in listed and self._is_run_gone(run, reply.clock_ms, sent_at)
-        ]
-        for run in missing:
-            self._log_missing_run(run, sent_at, missing=len(missing))
-            self._handle_missing_run(run)
-        for task in list(self.orphaned_runs):
-            if task not in listed:
-                del self.orphaned_runs[task]
+        if not reply.has_more_ended:
+            self._review_missing_runs(reply, sent_at)
         self._void_earlier_orders()
         self._observer.on_progress_reported(self, reply.clock_ms)
 
-    def _log_missing_run(self, run: Run, sent_at: float, *, missing: int) -> None:
-        """Log what is known of a run that the worker does not list and has not reported as ended.
-
-        :param sent_at: when the list was asked for.
-        :param missing: number of such runs in the list.
-        """
-        now = self._loop.time()
-        log.info(
-            "run_missing worker=%s task=%s run=%d asked_ms=%d confirmed_ms=%s voided_ms=%s"
-            " missing=%d",
-            self.info.id,
-            run.task,
-            run.number,
-            (now - sent_at) * 1000,
-            _format_age_ms(run.confirmed_at, now),
-            _format_age_ms(run.voided_at, now),
-            missing,
+    def _review_missing_runs(self, reply: HoldReply, sent_at: float) -> None:
+        """Review the runs that the worker lists neither as active nor as ended."""
+        listed = {row.task for row in reply.running}
+        ended = self._runs_in_doubt.review(
+            list(self.runs.values()),
+            listed=listed,
+            asked_at=sent_at,
+            may_start=lambda run: self._may_order_be_executed(run, reply.clock_ms, sent_at),
         )
-        self._observer.on_run_missing()
+        for run in ended:
+            self._handle_missing_run(run)
+        if self.orphaned_runs:
+            tasks = self._runs_in_doubt.review_orphans(
+                self.orphaned_runs, listed=listed, asked_at=sent_at
+            )
+            for task in tasks:
+                self._forget_orphaned_run(task)
+
+    def _forget_orphaned_run(self, task: TaskId) -> None:
+        self.orphaned_runs.pop(task, None)
+        self._runs_in_doubt.forget_orphan(task)
+
+    def _forget_orphaned_runs(self) -> None:
+        self.orphaned_runs.clear()
+        self._runs_in_doubt.forget_orphans()
 
     def _handle_missing_run(self, run: Run) -> None:
         """Handle a run that the worker neither reports nor can start by an order that it refuses.
@@ -812,13 +803,15 @@
             self._remove_run(run, RunOutcome.NOT_STARTED, EndCause.NEVER_LISTED)
         elif run.carried and not run.stopping and self._unanswered_orders.may_start(run.task):
             run.confirmed_at = None
+            run.ended_with_incarnation = False
             self._schedule_start_check(run)
         else:
-            self._remove_run(run, RunOutcome.LOST, EndCause.NOT_LISTED)
+            cause = EndCause.RESTARTED if run.ended_with_incarnation else EndCause.NOT_LISTED
+            self._remove_run(run, RunOutcome.LOST, cause)
 
     def _process_end(self, row: EndedRun) -> None:
         self._ends.processed = row.number
-        self.orphaned_runs.pop(row.task, None)
+        self._forget_orphaned_run(row.task)
         run = self.runs.get(row.task)
         if run is None or run.number != row.run:
             self._observer.on_orphaned_run_ended(row.task, row.kind)
@@ -838,32 +831,34 @@
         if run is None:
             run = self._observer.on_orphaned_run(self, row.task, row.run)
             if run is None:
+                if row.task not in self.orphaned_runs:
+                    self._calls.assume_renewed()
                 self.orphaned_runs[row.task] = row.run
                 return
             self.adopt(run)
         if run.number != row.run:
             return
-        run.confirmed_at = run.confirmed_at or now
+        run.missing = False
+        if run.confirmed_at is None or run.ended_with_incarnation:
+            run.confirmed_at = now
+            run.ended_with_incarnation = False
         run.note_progress(clock_ms, percent=row.percent)
         if run.stopping and now - run.stop_sent_at > STOP_RETRY_S:
             self.stop(run)
 
-    def _is_run_gone(self, run: Run, clock_ms: int, sent_at: float) -> bool:
-        """Return whether a run that the worker does not report has ended or can't start any more.
+    def _may_order_be_executed(self, run: Run, clock_ms: int, sent_at: float) -> bool:
+        """Return whether an order of a run that was never confirmed may still be executed.
 
-        A worker refuses runs that it was ordered to stop, and start orders past their deadline. If
-        it restarts, it refuses neither, so a run that is to take place waits for its order.
+        A worker refuses start orders past their deadline. If it restarts, it does not, so a run
+        that is to take place waits for its order.
 
-        :param clock_ms: time of the report on the worker's clock.
-        :param sent_at: when the poll was sent.
+        :param clock_ms: time of the worker's list on its clock.
+        :param sent_at: when the list was asked for.
         """
-        if run.confirmed_at is not None:
-            return sent_at > run.confirmed_at
-        if run.voided_at is not None:
-            return sent_at >= run.voided_at
         if self._may_restart_under_its_id and (run.carried or not run.stopping):
-            return not self._unanswered_orders.may_start(run.task)
-        return run.answered and sent_at > run.ordered_at and clock_ms > run.start_deadline_ms
+            return self._unanswered_orders.may_start(run.task)
+        is_overdue = sent_at > run.ordered_at and clock_ms > run.start_deadline_ms
+        return not (run.answered and is_overdue)
 
     # -- capacity ---------------------------------------------------------------------------
     # Values are negative while the worker's capacity has shrunk below the demand of its runs.
@@ -906,7 +901,7 @@
         A silent worker may have restarted, and the new incarnation may execute an order that the
         earlier one has not answered, long after its deadline.
         """
-        self.orphaned_runs.clear()
+        self._forget_orphaned_runs()
         expired = [
             run for run in self.runs.values() if not self._unanswered_orders.may_start(run.task)
         ]
@@ -917,7 +912,7 @@
 
     def _abandon_runs(self) -> None:
         """Count all runs as lost, since another worker has taken the address."""
-        self.orphaned_runs.clear()
+        self._forget_orphaned_runs()
         for run in list(self.runs.values()):
             self._remove_run(run, RunOutcome.LOST, EndCause.REPLACED)
 
@@ -933,10 +928,6 @@
         self._observer.on_fenced(self)
 
 
-def _format_age_ms(at: float | None, now: float) -> str:
-    return "" if at is None else str(int((now - at) * 1000))
-
-
 def _outcome_of(kind: EndKind) -> RunOutcome:
     if kind is EndKind.DONE:
         return RunOutcome.DONE
--- a/zincwell/dispatch/decisions/__init__.py
+++ b/zincwell/dispatch/decisions/__init__.py
@@ -59,6 +59,7 @@
     choose_long_poll_wait_s,
     min_poll_interval_s,
 )
+from zincwell.dispatch.decisions._run_ends import MissingRun, judge_missing_run
 from zincwell.dispatch.decisions._run_time_estimates import SLOW_WORKER_RATIO, RunTimeEstimator
 from zincwell.dispatch.decisions._stragglers import (
     MIN_PROGRESS_PERCENT,
@@ -117,6 +118,7 @@
     "DomainSize",
     "FreeCores",
     "LateJobDecision",
+    "MissingRun",
     "OfferedLoad",
     "QueueSimulation",
     "RetrySchedule",
@@ -147,6 +149,7 @@
     "is_slow_worker",
     "is_stalled",
     "judge_late_job",
+    "judge_missing_run",
     "judge_worker",
     "knows_every_worker",
     "latest_useful_age_s",
--- a/zincwell/dispatch/ports.py
+++ b/zincwell/dispatch/ports.py
@@ -174,12 +174,14 @@
     """The active runs of a worker, and those that ended after the acknowledged number.
 
     :param born_ms: incarnation of the worker that answered, see `WorkerInfo`.
+    :param has_more_ended: whether the worker may have more ended runs than the reply has.
     """
 
     clock_ms: int
     running: list[ActiveRun]
     ended: list[EndedRun]
     born_ms: int = 0
+    has_more_ended: bool = False
 
 
 class WorkerClient(abc.ABC):
--- a/zincwell/platform/_settings.py
+++ b/zincwell/platform/_settings.py
@@ -77,6 +77,7 @@
         limits=Limits(
             max_lease_s=_number(values, "bounds.maxHoldMs", 1000) / 1000,
             thaw_slack_s=_number(values, "bounds.thawSlackMs", 300) / 1000,
+            stop_timeout_s=_number(values, "bounds.stopTimeoutMs", 50) / 1000,
             drain_grace_s=_number(values, "bounds.graceS", 6),
             leave_notice_s=_number(values, "bounds.drainMs", 2000) / 1000,
             report_interval_s=_number(values, "heartbeatMs", 1500) / 1000,
--- a/zincwell/platform/_wire.py
+++ b/zincwell/platform/_wire.py
@@ -40,6 +40,8 @@
 # A longer number of milliseconds is no plausible timeout.
 MAX_TIMEOUT_DIGITS = 9
 # Workers report this for a run that waited in vain for the other members of its gang.
+# A worker lists this many ended runs at a time.
+MAX_ENDED_ROWS = 500
 GANG_INCOMPLETE = "alone"
 
 
@@ -369,6 +371,7 @@
     return HoldReply(
         clock_ms=reply.clock_ms or 0,
         born_ms=reply.born,
+        has_more_ended=len(reply.ended) >= MAX_ENDED_ROWS,
         running=[
             ActiveRun(task=parse_task(row[0]), run=int(row[1]), percent=_parse_percent(row[3]))
             for row in reply.running
