Count the lease that a start order grants

Callers saw tasks at work twice, both started by one owner in one term, without any fault of a list: all young runs of a worker began again on another one at once, and the first runs were not stopped.

Cause: a start order extends the leases of the worker up to its deadline, but only polls moved the time until which the owner reckons with leases. The poll that finds a silent worker again renews nothing, and the next one may wait for an entry to confirm ends. If a start that is sent meanwhile gets no answer and the worker is silent again, all leases counted as expired while that of the start was in force.

--- a/zincwell/dispatch/_worker_calls.py
+++ b/zincwell/dispatch/_worker_calls.py
@@ -76,7 +76,12 @@
 
 def max_lease_s(limits: Limits) -> float:
     """Return for how long a lease that is requested now may last on this entry's clock."""
-    return limits.max_lease_s * (1 + MAX_CLOCK_DRIFT_RATE) + limits.thaw_slack_s
+    return max_duration_s(limits.max_lease_s, limits)
+
+
+def max_duration_s(lease_s: float, limits: Limits) -> float:
+    """Return how long a lease of a given length on a worker's clock may last on this entry's."""
+    return lease_s * (1 + MAX_CLOCK_DRIFT_RATE) + limits.thaw_slack_s
 
 
 class WorkerCalls:
@@ -133,8 +138,12 @@
 
         The owner before may have renewed a run until the worker took the present fencing token.
         """
-        renewed_until = self._loop.time() + max_lease_s(self._limits)
-        self._leases_expire_at = max(self._leases_expire_at, renewed_until)
+        self._note_lease(self._limits.max_lease_s)
+
+    def _note_lease(self, lease_s: float) -> None:
+        """Remember until when a lease that is requested now may last on this entry's clock."""
+        expire_at = self._loop.time() + max_duration_s(lease_s, self._limits)
+        self._leases_expire_at = max(self._leases_expire_at, expire_at)
 
     async def start(self, run: Run) -> StartReply:
         """Order a run, which the worker refuses if the order arrives past its deadline."""
@@ -147,6 +156,8 @@
             fence=self.fence,
         )
         sent_at = self._loop.time()
+        # The order extends the leases of all runs on the worker, also if it is refused.
+        self._note_lease(START_VALIDITY_MS / 1000)
         with _START_ERRORS:
             reply = await self._client.start(self.info, order, timeout_s=START_VALIDITY_MS / 1000)
         self._timeout_estimator.note_answer(self._loop.time() - sent_at)
@@ -220,6 +231,5 @@
         """Return the next lease deadline on the worker's clock; None if that clock is unknown."""
         if not self.clock.is_known():
             return None
-        expire_at = self._loop.time() + max_lease_s(self._limits)
-        self._leases_expire_at = max(self._leases_expire_at, expire_at)
+        self._note_lease(self._limits.max_lease_s)
         return int(self.clock.lower_bound_ms() + self._limits.max_lease_s * 1000)
