--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -16,6 +16,7 @@
 from zincwell.dispatch._health import WorkerHealthMonitor
 from zincwell.dispatch._job_registry import JobRegistry
 from zincwell.dispatch._jobs import Job, Task, TaskState
+from zincwell.dispatch._lost_runs import LostRuns
 from zincwell.dispatch._messages import Cancel
 from zincwell.dispatch._metrics import Metrics
 from zincwell.dispatch._orphaned_runs import OrphanedRunStopper
@@ -35,7 +36,8 @@
 from zincwell.dispatch._unanswered_orders import UnansweredOrders
 from zincwell.dispatch._unservable_jobs import UnservableJobs
 from zincwell.dispatch._worker_calls import max_lease_s
-from zincwell.dispatch._worker_session import WorkerObserver, WorkerSession
+from zincwell.dispatch._worker_observer import WorkerObserver
+from zincwell.dispatch._worker_session import WorkerSession
 from zincwell.dispatch._worker_set import WorkerSet
 from zincwell.dispatch.decisions import (
     ANNOUNCE_AFTER_S,
@@ -57,11 +59,6 @@
 STARTUP_DELAY_S = 0.06
 # The oldest ends of tasks without an open job are forgotten beyond this number.
 MAX_UNCLAIMED_ENDS = 20_000
-# A job whose lost runs can't be confirmed to have ended for this long ends with an unknown outcome:
-# an entry that waits for it is gone, or neither the store nor most of the entries answer.
-LOSS_CONFIRMATION_TIMEOUT_S = 3.0
-# Jobs with runs that were given up are remembered up to this number, in case they come again.
-MAX_LOST_JOBS = 20_000
 # Interval between checks for jobs that can't be served and for unclaimed orphaned runs.
 REVIEW_INTERVAL_S = 0.02
 
@@ -187,8 +184,12 @@
         self._limits = limits
         # Ends "done" of tasks whose jobs are not known here, or not any more.
         self._unclaimed_ends: dict[TaskId, None] = {}
-        # Event loop time of the latest run that was given up on a silent worker, by job.
-        self._lost_at_by_job: dict[str, float] = {}
+        self._lost_runs = LostRuns(
+            jobs=self.jobs,
+            is_term_confirmed=lambda entries, since: listener.is_term_confirmed(
+                entries, since=since
+            ),
+        )
         self._end_reports = EndReports()
         self._loop = asyncio.get_running_loop()
         self._loss_detector = AnswerLossDetector()
@@ -277,7 +278,7 @@
         """
         for job in self.jobs.jobs_by_id.values():
             if job.started:
-                self._forget_loss(job)
+                self._lost_runs.forget(job)
                 job.possibly_started = True
                 job.accepted_at = self._loop.time()
 
@@ -359,51 +360,11 @@
         """
         if self._earlier_runs.start_delay_s(job, now) > 0 or not self._listener.may_start(job):
             return True
-        if not self._is_loss_confirmed(job):
+        if self._lost_runs.may_be_active(job):
             return True
         self._earlier_runs.note_excluded(job)
         return False
 
-    def _is_loss_confirmed(self, job: Job) -> bool:
-        """Return whether the runs that were given up on silent workers have certainly ended."""
-        if job.lost_at is None:
-            return True
-        if not self._listener.is_term_confirmed(job.waiting_entries, since=job.lost_at):
-            return False
-        log.info(
-            "loss_confirmed job=%s waited_ms=%d",
-            job.request.id,
-            (self._loop.time() - job.lost_at) * 1000,
-        )
-        self._forget_loss(job)
-        return True
-
-    def _note_loss(self, job_id: str) -> None:
-        """Remember that a run of a job was given up, also if the job ends and comes again."""
-        self._lost_at_by_job.pop(job_id, None)
-        self._lost_at_by_job[job_id] = self._loop.time()
-        if len(self._lost_at_by_job) > MAX_LOST_JOBS:
-            del self._lost_at_by_job[next(iter(self._lost_at_by_job))]
-        job = self.jobs.jobs_by_id.get(job_id)
-        if job is not None:
-            job.lost_at = self._lost_at_by_job[job_id]
-
-    def _forget_loss(self, job: Job) -> None:
-        job.lost_at = None
-        self._lost_at_by_job.pop(job.request.id, None)
-
-    def _review_losses(self, now: float) -> None:
-        """Confirm the runs that were given up, and end the jobs of which that takes too long."""
-        lost = [job for job in self.jobs.jobs_by_id.values() if job.lost_at is not None]
-        for job in lost:
-            if self._is_loss_confirmed(job):
-                self.on_capacity_available()
-            elif now - job.lost_at >= LOSS_CONFIRMATION_TIMEOUT_S:
-                log.warning("loss_unconfirmed job=%s", job.request.id)
-                reason = "runs of a lost worker may be active"
-                outcome = Outcome(verdict=Verdict.UNKNOWN, reason=reason)
-                self.jobs.end(job, outcome, remember=False)
-
     # -- jobs -------------------------------------------------------------------------------
 
     def submit(
@@ -450,7 +411,7 @@
         if job is None:
             self._update_job(request.id, entry, known)
             return
-        job.lost_at = self._lost_at_by_job.get(request.id)
+        self._lost_runs.attach(job)
         for task_id in known:
             self._mark_task_done(job, task_id)
         self._typical_task_cpu = max(job.smallest_cpu, 1)
@@ -673,7 +634,7 @@
         """Complete, retry or fail the task of a run that has ended on a worker."""
         self._runs.discard(run)
         if cause is EndCause.LEASES_EXPIRED:
-            self._note_loss(run.task.job)
+            self._lost_runs.note(run.task.job)
         self.on_capacity_available()
         job = self.jobs.jobs_by_id.get(run.task.job)
         task = job.task(run.task) if job is not None else None
@@ -846,7 +807,8 @@
             self._end_reports.finish_overdue(now)
             self._unservable_jobs.end_due(now)
             self._orphans.stop_due(now)
-            self._review_losses(now)
+            if self._lost_runs.review(now):
+                self.on_capacity_available()
             awaits_certainty = any(
                 (job.may_run_unseen() or job.may_be_resent) and job.waiting
                 for job in self.jobs.jobs_by_id.values()
--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import abc
 import asyncio
 import functools
 import logging
-from collections.abc import Callable
 
 from zincwell.dispatch._background import BackgroundTasks
 from zincwell.dispatch._end_reports import EndAcknowledgements
@@ -15,6 +13,7 @@
 from zincwell.dispatch._types import Limits, TaskId, WorkerInfo
 from zincwell.dispatch._unanswered_orders import MAX_ORDER_DELAY_S, SentOrder, UnansweredOrders
 from zincwell.dispatch._worker_calls import HOLD_WAIT_S, WorkerCalls, WorkerRestartedError
+from zincwell.dispatch._worker_observer import WorkerObserver
 from zincwell.dispatch.decisions import (
     MAX_ANSWER_TIMEOUT_S,
     MAX_LOOP_LAG_S,
@@ -61,70 +60,6 @@
 UNHEALTHY_PAUSE_S = 0.5
 
 
-class WorkerObserver(abc.ABC):
-    """Callbacks and queries of a session to the owner."""
-
-    @abc.abstractmethod
-    def on_held(self, session: WorkerSession) -> None:
-        """Handle a worker that has accepted the fencing token and reported its runs."""
-
-    @abc.abstractmethod
-    def on_capacity_available(self) -> None:
-        """Handle capacity that may have become available on a worker."""
-
-    @abc.abstractmethod
-    def on_run_added(self, session: WorkerSession, run: Run) -> None:
-        """Record a run that was ordered or adopted."""
-
-    @abc.abstractmethod
-    def on_run_ended(
-        self, session: WorkerSession, run: Run, outcome: RunOutcome, cause: EndCause
-    ) -> None:
-        """Handle the end of a run on the worker."""
-
-    @abc.abstractmethod
-    def on_run_missing(self) -> None:
-        """Count a run that a worker does not list and has not reported as ended."""
-
-    @abc.abstractmethod
-    def may_order_again(self, session: WorkerSession, task: TaskId) -> bool:
-        """Return whether a start order may be sent again, also after a restart of the worker."""
-
-    @abc.abstractmethod
-    def min_poll_interval_s(self) -> float:
-        """Return the shortest interval in seconds between polls of one worker."""
-
-    @abc.abstractmethod
-    def on_progress_reported(self, session: WorkerSession, clock_ms: int) -> None:
-        """Handle a progress report of the worker.
-
-        :param clock_ms: time of the report on the worker's clock.
-        """
-
-    @abc.abstractmethod
-    def on_orphaned_run(self, session: WorkerSession, task: TaskId, number: int) -> Run | None:
-        """Return the run to adopt for a task that a previous owner started, or None."""
-
-    @abc.abstractmethod
-    def on_orphaned_run_ended(self, task: TaskId, kind: EndKind) -> None:
-        """Record the end of a run that this owner did not order."""
-
-    @abc.abstractmethod
-    def call_when_end_is_known(self, task: TaskId, listener: Callable[[], None]) -> bool:
-        """Call a listener once the waiting entries know that a task is done.
-
-        Returns False if they know it already, so that the end may be acknowledged.
-        """
-
-    @abc.abstractmethod
-    def on_fenced(self, session: WorkerSession) -> None:
-        """Handle a worker that has accepted a higher fencing token of another owner."""
-
-    @abc.abstractmethod
-    def on_newer_incarnation(self, session: WorkerSession, born_ms: int) -> None:
-        """Replace the session, since a newer incarnation of the worker has answered."""
-
-
 class WorkerSession:
     """Sends orders to one incarnation of a worker under a fencing token and tracks its runs.
 
