Let the soak's workers be behind with their lists

Cause of the change: the soak's workers list a run from the moment of its 200 until the moment of its end.

The checks count a run as at work from its start to its end, whatever is listed, and say how the runs ended that met. Answers have room for 500 ends.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -11,6 +11,7 @@
 import fire
 
 from bench.soak._day import Day, DayPlan, DayResult
+from bench.soak._worker import ListDelays
 
 
 def play_day(plan: DayPlan, folder: Path) -> DayResult:
@@ -34,6 +35,10 @@
     cores: float = 1.0,
     kinds: str | tuple[str, ...] = "",
     tells_born: bool = True,
+    list_delay_ms: int = 0,
+    end_delay_ms: int = 0,
+    hides_stopping: bool = False,
+    late_share: float = 0.9,
     logs: str = "",
     verbose: bool = False,
 ) -> None:
@@ -43,11 +48,22 @@
     :param cores: processor that entries say they have; 0.05 divides the pool into cells.
     :param kinds: faults to draw from, with commas between, such as ``drain_entry,cut_zone``.
     :param tells_born: whether workers tell their start time.
+    :param list_delay_ms: workers list runs this long after they have answered their starts.
+    :param end_delay_ms: runs leave these lists this long before their ends are listed.
+    :param hides_stopping: runs are not listed while they are being stopped.
+    :param late_share: share of the runs to which these three apply.
     :param logs: folder for the logs of the entries of days that broke something.
     """
     level = logging.INFO if verbose else logging.CRITICAL
     logging.basicConfig(level=level, format="%(created).3f %(message)s")
     red = 0
+    is_behind = bool(list_delay_ms or end_delay_ms or hides_stopping)
+    delays = ListDelays(
+        start_ms=list_delay_ms,
+        end_ms=end_delay_ms,
+        hides_stopping=hides_stopping,
+        share=late_share,
+    )
     for seed in range(first, first + days):
         plan = DayPlan(
             seed=seed,
@@ -57,6 +73,7 @@
             cores=cores,
             kinds=_split(kinds),
             tells_born=tells_born,
+            list_delays=delays if is_behind else None,
         )
         with tempfile.TemporaryDirectory(prefix="soak-") as name:
             result = play_day(plan, Path(name))
--- a/bench/soak/_checks.py
+++ b/bench/soak/_checks.py
@@ -40,25 +40,27 @@
     done: set[int] = field(default_factory=set)
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(kw_only=True, eq=False)
 class ObservedRun:
-    """A run as its worker saw it begin.
+    """A run as its worker saw it, whatever the worker's lists say of it.
 
     :param fence: fencing token of the order that began it.
-    :param at: seconds since the epoch.
+    :param at: when it began, in seconds since the epoch.
+    :ivar end: how and when it ended, in words; empty while it is at work.
     """
 
     worker_id: str
     number: int
     fence: int
     at: float
+    end: str = ""
 
     def describe(self, entries_by_fence: Mapping[int, str]) -> str:
         """Return the run in words, with the entry whose order began it."""
         entry = entries_by_fence.get(self.fence, "unknown")
         return (
             f"run {self.number} on {self.worker_id} at {self.at:.3f}"
-            f" from {entry} under fence {self.fence}"
+            f" from {entry} under fence {self.fence}{self.end}"
         )
 
 
@@ -148,7 +150,9 @@
         """Take note of an end at a worker."""
         running = self._running_by_task[task]
         ended = (worker.id, number)
-        running.remove(next(run for run in running if (run.worker_id, run.number) == ended))
+        run = next(run for run in running if (run.worker_id, run.number) == ended)
+        run.end = f" until {time.time():.3f} {how}"
+        running.remove(run)
         job = self.jobs_by_id.get(task.split(".")[0])
         if job is not None and how == "done":
             job.done.add(int(task.rsplit(".", 1)[1]))
--- a/bench/soak/_day.py
+++ b/bench/soak/_day.py
@@ -19,7 +19,7 @@
 from bench.soak._faults import STORE, Faults, write_configuration
 from bench.soak._network import Network
 from bench.soak._store import SERVERS, StandInStore
-from bench.soak._worker import StandInWorker
+from bench.soak._worker import ListDelays, StandInWorker
 
 ZONES = ("a", "b", "c")
 # An owner divides the pool once it has been too large for this long, with some time to spare.
@@ -41,6 +41,7 @@
         cell of their own.
     :param kinds: names of the methods of ``Faults`` to draw from; all if empty.
     :param tells_born: whether workers tell their start time.
+    :param list_delays: how far the workers' lists are behind; None if they never are.
     """
 
     seed: int
@@ -50,6 +51,7 @@
     cores: float = 1.0
     kinds: tuple[str, ...] = ()
     tells_born: bool = True
+    list_delays: ListDelays | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -84,6 +86,7 @@
                 checks=self._checks,
                 random_numbers=self._random,
                 tells_born=plan.tells_born,
+                list_delays=plan.list_delays,
             )
             for number in range(plan.workers)
         ]
--- a/bench/soak/_worker.py
+++ b/bench/soak/_worker.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import time
 from dataclasses import dataclass
@@ -17,11 +18,40 @@
 MAX_HOLD_WAIT_MS = 2_000
 # How long the connection of a call that got lost stays open.
 LOST_CALL_S = 5.0
+# An answer has room for this many ends; later ones come with the next answers.
+MAX_LISTED_ENDS = 500
+
+
+@dataclass(frozen=True, kw_only=True)
+class ListDelays:
+    """How far the lists of workers are behind their work, as the platform's page allows it.
+
+    :param start_ms: runs are listed this long after their starts are answered.
+    :param end_ms: runs leave the list of active ones this long before they end and that is listed.
+    :param hides_stopping: runs that are being stopped are in neither list until they have ended.
+    :param share: to which share of the runs this applies.
+    """
+
+    start_ms: int = 0
+    end_ms: int = 0
+    hides_stopping: bool = False
+    share: float = 1.0
+
+    def lists(self, run: StandInRun, now: float) -> bool:
+        """Return whether a run whose listing is late is listed as active."""
+        if self.hides_stopping and run.stopping:
+            return False
+        listed_from = run.began_at + self.start_ms / 1000
+        return listed_from <= now <= run.ends_at - self.end_ms / 1000
 
 
 @dataclass(eq=False)
 class StandInRun:
-    """A run at work."""
+    """A run at work.
+
+    :ivar ends_at: when it will be done, on the steady clock; infinite if it hangs.
+    :ivar is_listed_late: whether the delays of the lists apply to it.
+    """
 
     task: str
     number: int
@@ -29,6 +59,9 @@
     began_at: float
     needs_s: float
     timer: asyncio.TimerHandle | None = None
+    ends_at: float = math.inf
+    is_listed_late: bool = False
+    stopping: bool = False
 
 
 class StandInWorker:
@@ -38,6 +71,7 @@
     tells the incarnations apart.
 
     :param tells_born: whether its records and answers have its start time.
+    :param list_delays: how far its lists are behind what it does; None if they never are.
     """
 
     def __init__(
@@ -48,6 +82,7 @@
         checks: Checks,
         random_numbers: random.Random,
         tells_born: bool = True,
+        list_delays: ListDelays | None = None,
     ) -> None:
         self.name = name
         self.zone = zone
@@ -61,6 +96,7 @@
         self.lost_call_share = 0.0
         self.late_start_s = 0.0
         self._tells_born = tells_born
+        self._list_delays = list_delays
         self._checks = checks
         self._random = random_numbers
         self.be_born()
@@ -190,12 +226,15 @@
         self._extend(body["deadlineMs"])
         self._highest_by_task[task] = number
         run = StandInRun(task, number, cpu, time.monotonic(), needs_s)
+        if self._list_delays is not None:
+            run.is_listed_late = self._random.random() < self._list_delays.share
         self._runs_by_task[task] = run
         self._checks.note_start(self, task, number, body["spec"], fence=self._fence)
         if self.fails_all:
             self._end(run, "failed")
         elif not self.hangs:
             loop = asyncio.get_running_loop()
+            run.ends_at = run.began_at + needs_s
             run.timer = loop.call_later(needs_s, self._end, run, "done")
         return self._reply({})
 
@@ -204,6 +243,7 @@
         self._highest_by_task[task] = max(number, self._highest_by_task.get(task, 0))
         run = self._runs_by_task.get(task)
         if run is not None and run.number <= number:
+            run.stopping = True
             asyncio.get_running_loop().call_later(STOP_S, self._end, run, "stopped")
         return self._reply({})
 
@@ -225,9 +265,12 @@
         now = time.monotonic()
         running = []
         for run in self._runs_by_task.values():
+            if run.is_listed_late and not self._list_delays.lists(run, now):
+                continue
             share = 0.0 if self.hangs else min(0.99, (now - run.began_at) / run.needs_s)
             running.append([run.task, run.number, "", int(share * 100)])
-        return self._reply({"running": running, "ended": self._ended, **self._incarnation()})
+        ended = self._ended[:MAX_LISTED_ENDS]
+        return self._reply({"running": running, "ended": ended, **self._incarnation()})
 
     def _extend(self, deadline_ms: int) -> None:
         now_ms = self.clock_ms()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,12 +7,13 @@
 
 import pytest
 from testtools.assertions import assert_that
-from testtools.matchers import EndsWith, Equals, GreaterThan
+from testtools.matchers import EndsWith, Equals, GreaterThan, HasLength, MatchesListwise
 
 from bench.soak.__main__ import play_day
 from bench.soak._checks import Checks, SoakJob
 from bench.soak._day import DayPlan
 from bench.soak._elections import Elections
+from bench.soak._worker import ListDelays, StandInRun
 
 
 @pytest.mark.parametrize("seed", [1])
@@ -105,6 +106,17 @@
     assert_that(restarts, GreaterThan(0))
 
 
+@pytest.mark.parametrize("delay_ms", [20, 5])
+def test_workers_whose_lists_are_behind_run_no_task_twice(tmp_path: Path, delay_ms: int):
+    # Guards against a second run of a task that one list leaves out, though no end of it is told.
+    kinds = ("workers_lose_calls",) * 2 + ("worker_loses_answers", "worker_starts_late")
+    delays = ListDelays(start_ms=delay_ms, end_ms=delay_ms, hides_stopping=True, share=0.9)
+    plan = DayPlan(seed=2, entries=3, faults=4, kinds=kinds, tells_born=False, list_delays=delays)
+    result = play_day(plan, tmp_path)
+    assert_that(result.broken, Equals([]))
+    assert_that(result.answers_by_status["200"], GreaterThan(10))
+
+
 class FakeWorker:
     """A worker as the checks see it."""
 
@@ -162,6 +174,31 @@
     assert_that(Elections(folder=tmp_path).count_returns(within_s=2.0), Equals(returns))
 
 
+def test_the_checks_count_a_run_as_at_work_until_its_end(checks: Checks):
+    worker = FakeWorker()
+    checks.note_start(worker, "a.0.0.1", 1, "spec of a")
+    checks.note_start(worker, "a.0.0.1", 2, "spec of a")
+    checks.note_end(worker, "a.0.0.1", 1, "done")
+    checks.note_end(worker, "a.0.0.1", 2, "stopped")
+    checks.note_start(worker, "a.0.0.1", 3, "spec of a")
+    checks.finish()
+    assert_that(checks.broken, HasLength(1))
+    later, earlier = checks.broken[0].split(" beside ")
+    assert_that([later, earlier], MatchesListwise([EndsWith("stopped"), EndsWith("done")]))
+
+
+@pytest.mark.parametrize(
+    ("at", "stopping", "is_listed"),
+    [(0.004, False, False), (0.006, False, True), (0.094, False, True), (0.096, False, False)]
+    + [(0.05, True, False)],
+)
+def test_a_list_that_is_behind_leaves_out_runs_at_work(at: float, stopping: bool, is_listed: bool):
+    delays = ListDelays(start_ms=5, end_ms=5, hides_stopping=True)
+    run = StandInRun("a.0.0.0", 1, 9_000, began_at=10.0, needs_s=0.1)
+    run.ends_at, run.stopping = 10.1, stopping
+    assert_that(delays.lists(run, 10.0 + at), Equals(is_listed))
+
+
 @pytest.mark.parametrize(("task", "spec"), [("b.0.0.0", "spec of b"), ("a.0.0.2", "spec of a")])
 def test_the_checks_see_a_start_that_nobody_asked_for(checks: Checks, task: str, spec: str):
     checks.note_start(FakeWorker(), task, 1, spec)
