Reproduce a second run by a new owner whose first list is 20 ms behind

Callers see a task at work twice: an owner that is cut off from all entries still starts a task 3 to 18 ms before the next owner's first poll reaches the worker, which lists its runs 20 ms late. The new owner takes the task's runs for seen (earlier_runs_excluded by=all_workers_held, 17 ms after the submission) and starts it.

Cause: the first list under the new token counts as all runs of the worker, though it need not show a run that was started before the token was accepted.

--- a/tests/test_run_ends.py
+++ b/tests/test_run_ends.py
@@ -378,6 +378,33 @@
     await expect_success(job)
 
 
+@pytest.mark.parametrize("starts_after_s", [0.46, 0.465, 0.47, 0.475])
+async def test_a_run_started_just_before_the_first_list_to_a_new_owner_starts_nowhere_else(
+    world: World, starts_after_s: float
+):
+    # Guards against a second run beside one that an owner which is cut off from all entries has
+    # started less than 20 ms before the new owner's first poll, as runs are listed 20 ms late.
+    worker = await open_pool(world, sends_born=False)
+    leave_no_room(world, worker, count=1)
+    await asyncio.sleep(DOMAINS_HEARD_S)
+    worker.list_delay_s = 0.02
+    owner = owner_of(world)
+    cut_off = world.owners()[0]
+    cut_at = world.loop.time() + 0.01
+    for session in owner._workers.sessions_by_id.values():
+        session.pause_until = cut_at + starts_after_s
+    world.loop.call_at(cut_at + starts_after_s + 0.0001, owner.on_capacity_available)
+    job = submit(world, entry_of_callers(world), "job", count=1, run_ms=2000)
+    await asyncio.sleep(0.01)
+    for name in world.nodes:
+        world.cut(cut_off, name)
+    while len(world.owners()) < 2:
+        await asyncio.sleep(0.001)
+    # The new owner's first poll has not reached the worker yet.
+    assert_that(worker.runs, HasLength(1))
+    await expect_success(job)
+
+
 async def test_an_adopted_run_that_one_list_leaves_out_starts_nowhere_else(world: World):
     # Guards against a second run beside one of the owner before, which the new owner has adopted.
     worker = await open_pool(world, sends_born=False)
