Wait for the leases of a worker at whose address another process answers

Callers could see a task at work twice: one answer of another process at a worker's address gave up all runs of the worker at once, while it was at work under its lease.

Cause: that answer was taken for the end of the worker. It shows only that the worker does not have the address any more. Now the runs end with their leases, unless another worker is listed under the address as well, so that a new life has begun there; the tasks of a crashed worker that is back still start again at once, as test_tasks_of_a_crashed_worker_start_again_when_it_has_restarted asks. A start order that such a process has refused has started nothing.

--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -332,6 +332,10 @@
             renew_only_adopted=self._renew_only_adopted,
         )
 
+    def on_replaced(self, session: WorkerSession) -> None:
+        """Give up the runs of a worker whose address has been taken, if that is certain."""
+        self._workers.review_replaced(session)
+
     def on_newer_incarnation(self, session: WorkerSession, born_ms: int) -> None:
         """Open a session with the newer incarnation of a worker that has answered."""
         self._workers.replace(session, info=session.info, born_ms=born_ms)
--- a/zincwell/dispatch/_runs.py
+++ b/zincwell/dispatch/_runs.py
@@ -44,7 +44,7 @@
     confirmed, the worker does not list it, and has refused it for longer than a stop takes.
     ``NEVER_LISTED``: the same, but it was never confirmed. ``RESTARTED``: the worker has restarted
     since it was confirmed. ``LEASES_EXPIRED``: the worker is silent, and no lease can be in force.
-    ``REPLACED``: another process has taken the worker's address.
+    ``REPLACED``: another process answers at the worker's address and is listed there.
     """
 
     REPORTED = enum.auto()
--- a/zincwell/dispatch/_worker_observer.py
+++ b/zincwell/dispatch/_worker_observer.py
@@ -73,6 +73,10 @@
     def on_fenced(self, session: WorkerSession) -> None:
         """Handle a worker that has accepted a higher fencing token of another owner."""
 
+    @abc.abstractmethod
+    def on_replaced(self, session: WorkerSession) -> None:
+        """Handle another process that answers at the worker's address."""
+
     @abc.abstractmethod
     def on_newer_incarnation(self, session: WorkerSession, born_ms: int) -> None:
         """Replace the session, since a newer incarnation of the worker has answered."""
--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -77,7 +77,7 @@
     :ivar held: whether the worker has accepted the fencing token and reported its runs.
     :ivar silent: whether the worker has stopped answering.
     :ivar fenced: whether the worker has accepted a higher fencing token.
-    :ivar replaced: whether another process has taken the worker's address.
+    :ivar replaced: whether another process has answered at the worker's address.
     :ivar awaits_record: whether the worker has restarted and its new record is not known yet.
     :ivar on_probation: whether the worker gets one run at a time, after a quarantine.
     :ivar suspect: whether a single long run is the only evidence of its condition. Tasks start on
@@ -394,6 +394,8 @@
             return
         except WorkerReplacedError:
             self._note_answered(order)
+            if run.confirmed_at is None and not self._unanswered_orders.may_start(run.task):
+                self._remove_run(run, RunOutcome.NOT_STARTED, EndCause.REFUSED)
             self._handle_replaced()
             return
         if reply.status is StartStatus.STARTED and self.runs.get(run.task) is not run:
@@ -599,7 +601,7 @@
     async def _pause(self, failures: int) -> None:
         """Wait before the next attempt, at most until the listing or the fencing token changes."""
         pause_s = min(RETRY_PAUSE_S * failures, MAX_RETRY_PAUSE_S)
-        if not self._listed or self.replaced:
+        if not self._listed or (self.replaced and not self.runs):
             pause_s = UNLISTED_PAUSE_S
         elif self._unanswered_orders.is_expected_at(self.info.id):
             # Tasks wait for this worker, or it must be told to refuse orders if it restarts.
@@ -845,8 +847,8 @@
         for run in expired:
             self._remove_run(run, RunOutcome.LOST, EndCause.LEASES_EXPIRED)
 
-    def _abandon_runs(self) -> None:
-        """Count all runs as lost, since another worker has taken the address."""
+    def abandon_runs(self) -> None:
+        """Count all runs as lost, since another worker is listed under the address and answers."""
         self._forget_orphaned_runs()
         for run in list(self.runs.values()):
             self._remove_run(run, RunOutcome.LOST, EndCause.REPLACED)
@@ -856,7 +858,7 @@
             log.warning("worker_replaced worker=%s runs=%d", self.info.id, len(self.runs))
         self.silent = True
         self.replaced = True
-        self._abandon_runs()
+        self._observer.on_replaced(self)
 
     def _handle_fenced(self) -> None:
         self.fenced = True
--- a/zincwell/dispatch/_worker_set.py
+++ b/zincwell/dispatch/_worker_set.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections import defaultdict
 from collections.abc import Callable, Collection, Iterable
 
 from zincwell.dispatch._placement import could_ever_fit
@@ -31,6 +32,8 @@
         self.sessions_by_id: dict[str, WorkerSession] = {}
         self._is_assigned = is_assigned
         self._evacuated: frozenset[str] = frozenset()
+        # Of the listed workers.
+        self._ids_by_address: defaultdict[str, set[str]] = defaultdict(set)
         # Incremented with each change, for the validation of cached results about all workers.
         self.version = 0
         self._make_session = make_session
@@ -53,8 +56,12 @@
                 self._open_session(info)
             elif session.info != info:
                 self._update_session(session, info)
+        self._ids_by_address.clear()
+        for worker_id, info in infos.items():
+            self._ids_by_address[info.address].add(worker_id)
         for worker_id, session in list(self.sessions_by_id.items()):
             session.set_listed(worker_id in infos)
+            self.review_replaced(session)
             if session.is_gone():
                 log.info("worker_gone worker=%s", worker_id)
                 session.close()
@@ -79,6 +86,15 @@
         self._on_restarted(info.id)
         successor.open()
 
+    def review_replaced(self, session: WorkerSession) -> None:
+        """Give up the runs of a worker at whose address another one answers and is listed.
+
+        If it is not listed, the first one may have lost its address only, and work on.
+        """
+        listed_ids = self._ids_by_address.get(session.info.address, set())
+        if session.replaced and listed_ids - {session.info.id}:
+            session.abandon_runs()
+
     def probe_unlisted(self, infos: Iterable[WorkerInfo]) -> None:
         """Open sessions with workers that have left the list but may still answer."""
         for info in infos:
