Don't take an answer to a start for one of the incarnation before

Callers could see a task at work twice after a restart of a worker under its id: a start order was answered by the new process before the owner had seen the restart, its first list was behind, and the run counted as one that had ended with the process before.

Cause: an answer to a start order does not tell the incarnation, but a confirmed run was taken for one of the earlier process. Only a list tells it. A run that no list of the earlier process has named is now in doubt like any other.

--- a/zincwell/dispatch/_runs.py
+++ b/zincwell/dispatch/_runs.py
@@ -86,11 +86,12 @@
     :param orders_sent: how often its start order was sent.
     :param answered: whether the start call has returned or failed.
     :param refused_since: when the worker first answered a stop order of it, or None.
+    :param listed: whether the present incarnation of the worker has listed it.
     :param missing: whether the worker's newest list leaves it out.
     :param carried: whether it was ordered to an earlier incarnation of the worker, so that the
         present one may neither know the order nor refuse it past its deadline.
-    :param ended_with_incarnation: whether an earlier incarnation of the worker has confirmed it,
-        and the present one has not listed it.
+    :param ended_with_incarnation: whether an earlier incarnation of the worker has listed it, and
+        the present one has not. An answer to a start order does not tell the incarnation.
     :param started_ms: when it was first known to be active, or None.
     :param first_percent: its progress at ``started_ms``.
     :param last_progress_ms: when its latest progress was first reported.
@@ -115,6 +116,7 @@
     orders_sent: int = 0
     answered: bool = False
     refused_since: float | None = None
+    listed: bool = False
     missing: bool = False
     stopping: bool = False
     stop_sent_at: float = 0.0
@@ -140,7 +142,8 @@
     def carry_over(self) -> None:
         """Forget what depends on the worker's earlier incarnation: its clock and its refusals."""
         self.carried = True
-        self.ended_with_incarnation = self.confirmed_at is not None
+        self.ended_with_incarnation = self.listed
+        self.listed = False
         self.refused_since = None
         self.missing = False
         self.started_ms = None
--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -775,7 +775,7 @@
             self.adopt(run)
         if run.number != row.run:
             return
-        run.missing = False
+        run.listed, run.missing = True, False
         if run.confirmed_at is None or run.ended_with_incarnation:
             run.confirmed_at = now
             run.ended_with_incarnation = False
