Compare the age of a list of runs with that of other lists only

A run at work was stopped, and its task began again elsewhere, when the answer to a start overtook the list that names the run: the list was dropped as older than an answer that holds no list, and the doubt about the run stayed.

A list is now dropped only for a later list, and a run in doubt is stopped only after a list that counts. WorkerClock no longer tells which answer is the newest, as nobody else asked.

--- a/zincwell/dispatch/_clocks.py
+++ b/zincwell/dispatch/_clocks.py
@@ -20,21 +20,17 @@
     def __init__(self) -> None:
         self._bound_ms: float | None = None
         self._bound_at = 0.0
-        self._newest_ms = 0
         self._loop = asyncio.get_running_loop()
 
     def is_known(self) -> bool:
         """Return whether an answer has contained the worker's time."""
         return self._bound_ms is not None
 
-    def update(self, clock_ms: int) -> bool:
-        """Apply the time in an answer; return whether no later answer was seen before."""
+    def update(self, clock_ms: int) -> None:
+        """Apply the time in an answer."""
         if self._bound_ms is None or clock_ms >= self.lower_bound_ms():
             self._bound_ms = clock_ms
             self._bound_at = self._loop.time()
-        is_newest = clock_ms >= self._newest_ms
-        self._newest_ms = max(self._newest_ms, clock_ms)
-        return is_newest
 
     def lower_bound_ms(self) -> float:
         """Return a time in milliseconds that the worker's clock has certainly reached."""
--- a/zincwell/dispatch/_runs_in_doubt.py
+++ b/zincwell/dispatch/_runs_in_doubt.py
@@ -28,7 +28,7 @@
     Without this, the task would wait for the deadline of its order or for the end of its lease.
 
     :param is_known: returns whether a run still counts as one of the worker.
-    :param poll: polls the worker once; returns whether it has answered.
+    :param poll: polls the worker once; returns whether it has answered by a new list of runs.
     :param stop: sends a stop order; returns whether the worker has answered it.
     :param on_missing: called for each run that a list leaves out.
     :param stop_timeout_s: time in seconds that the platform allows for a stop.
--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -117,6 +117,8 @@
         self.last_answer_at = 0.0
         self._last_run_ended_at = 0.0
         self._long_poll_until = 0.0
+        # Time of the newest list of runs on the worker's clock.
+        self._listed_at_ms = 0
         self._renew_only_adopted = renew_only_adopted
         self._loss_detector = loss_detector
         self._observer = observer
@@ -337,10 +339,12 @@
             self._tasks.spawn(self._poll_once())
 
     async def _poll_once(self) -> bool:
-        """Poll the worker beside the polls that follow each other; return whether it answered."""
+        """Poll the worker beside the polls that follow each other.
+
+        Returns whether it has answered by a list that is not older than one before.
+        """
         try:
-            await self._hold(0.0)
-            return True
+            return await self._hold(0.0)
         except WorkerFencedError:
             self._handle_fenced()
         except WorkerReplacedError:
@@ -660,13 +664,14 @@
         )
         return min(remaining_s, default=None)
 
-    async def _hold(self, wait_s: float, *, answer_timeout_s: float = MAX_ANSWER_TIMEOUT_S) -> None:
+    async def _hold(self, wait_s: float, *, answer_timeout_s: float = MAX_ANSWER_TIMEOUT_S) -> bool:
+        """Poll the worker and apply its answer; return whether its list of runs is a new one."""
         sent_at = self._loop.time()
         reply = await self._calls.hold(
             renew_leases=self._may_renew_leases(), wait_s=wait_s, answer_timeout_s=answer_timeout_s
         )
         self.last_answer_at = self._loop.time()
-        self._apply_reply(reply, sent_at)
+        is_new = self._apply_reply(reply, sent_at)
         if self.silent:
             log.info("worker_back worker=%s runs=%d", self.info.id, len(self.runs))
             self.silent = False
@@ -674,6 +679,7 @@
         if not self.held:
             self.held = True
             self._observer.on_held(self)
+        return is_new
 
     def _may_renew_leases(self) -> bool:
         """Return whether the next poll may renew the leases of the worker's runs.
@@ -688,21 +694,25 @@
             return False
         return not self._renew_only_adopted or (self.held and not self.orphaned_runs)
 
-    def _apply_reply(self, reply: HoldReply, sent_at: float) -> None:
+    def _apply_reply(self, reply: HoldReply, sent_at: float) -> bool:
+        """Apply an answer to a poll; return whether its list of runs is a new one."""
         now = self._loop.time()
         for row in sorted(reply.ended, key=lambda row: row.number):
             if row.number > self._ends.processed:
                 self._process_end(row)
         self._calls.acknowledged = self._ends.acknowledged()
-        if not self._calls.clock.update(reply.clock_ms):
-            # A later answer arrived first on another connection, so this list of runs is stale.
-            return
+        self._calls.clock.update(reply.clock_ms)
+        if reply.clock_ms < self._listed_at_ms:
+            # A later list arrived first on another connection.
+            return False
+        self._listed_at_ms = reply.clock_ms
         for row in reply.running:
             self._note_active_run(row, reply.clock_ms, now)
         if not reply.has_more_ended:
             self._review_missing_runs(reply, sent_at)
         self._void_earlier_orders()
         self._observer.on_progress_reported(self, reply.clock_ms)
+        return True
 
     def _review_missing_runs(self, reply: HoldReply, sent_at: float) -> None:
         """Review the runs that the worker lists neither as active nor as ended."""
