Offer a worker to waiting jobs when its last orphaned run is gone

A job waited for the next event of any worker, up to its deadline, if the only usable worker had just got rid of its last orphaned run: nothing starts on a worker with orphaned runs, and nobody asked for a placement when that was over.

--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -733,8 +733,10 @@
                 self._forget_orphaned_run(task)
 
     def _forget_orphaned_run(self, task: TaskId) -> None:
-        self.orphaned_runs.pop(task, None)
         self._runs_in_doubt.forget_orphan(task)
+        if self.orphaned_runs.pop(task, None) is not None and not self.orphaned_runs:
+            # Nothing starts on a worker with orphaned runs.
+            self._observer.on_capacity_available()
 
     def _forget_orphaned_runs(self) -> None:
         self.orphaned_runs.clear()
