Wait longer for lists that are far behind

A task whose workers list runs more than 52 ms after their starts never ended: each run was stopped as a run in doubt and started elsewhere, where it was stopped again.

The owner now learns from each run that it has stopped in doubt and that was at work, and waits twice as long from then on, up to a second. The estimate is shared by all of its workers, since a task visits each of them once.

--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -43,6 +43,7 @@
     ANNOUNCE_AFTER_S,
     NO_WORKERS_BACKLOG_S,
     AnswerLossDetector,
+    ListingDelayEstimator,
     is_slow_run,
     min_poll_interval_s,
 )
@@ -193,6 +194,7 @@
         self._end_reports = EndReports()
         self._loop = asyncio.get_running_loop()
         self._loss_detector = AnswerLossDetector()
+        self._listing_delay = ListingDelayEstimator()
         self._unanswered_orders = UnansweredOrders(max_lease_s=max_lease_s(limits))
         self._workers = WorkerSet(
             is_assigned=self._is_assigned,
@@ -328,6 +330,7 @@
             fence=self.fence,
             limits=self._limits,
             loss_detector=self._loss_detector,
+            listing_delay=self._listing_delay,
             unanswered_orders=self._unanswered_orders,
             renew_only_adopted=self._renew_only_adopted,
         )
--- a/zincwell/dispatch/_runs_in_doubt.py
+++ b/zincwell/dispatch/_runs_in_doubt.py
@@ -10,12 +10,10 @@
 from zincwell.dispatch._clocks import MAX_CLOCK_DRIFT_RATE
 from zincwell.dispatch._runs import Run
 from zincwell.dispatch._types import TaskId
-from zincwell.dispatch.decisions import MissingRun, judge_missing_run
+from zincwell.dispatch.decisions import ListingDelayEstimator, MissingRun, judge_missing_run
 
 log = logging.getLogger("zincwell.worker")
 
-# A run that was confirmed may be listed this much later, so that it need not be stopped.
-LISTING_DELAY_S = 0.05
 # The clock of the event loop counts in milliseconds.
 CLOCK_RESOLUTION_S = 0.002
 
@@ -31,6 +29,7 @@
     :param poll: polls the worker once; returns whether it has answered by a new list of runs.
     :param stop: sends a stop order; returns whether the worker has answered it.
     :param on_missing: called for each run that a list leaves out.
+    :param listing_delay: shared by the owner's sessions.
     :param stop_timeout_s: time in seconds that the platform allows for a stop.
     :param tasks: background tasks of the session with the worker.
     """
@@ -43,6 +42,7 @@
         poll: Callable[[], Awaitable[bool]],
         stop: Callable[[Run], Awaitable[bool]],
         on_missing: Callable[[], None],
+        listing_delay: ListingDelayEstimator,
         stop_timeout_s: float,
         tasks: BackgroundTasks,
     ) -> None:
@@ -52,8 +52,11 @@
         self._stop = stop
         self._on_missing = on_missing
         self._stop_timeout_s = stop_timeout_s * (1 + MAX_CLOCK_DRIFT_RATE)
+        self._listing_delay = listing_delay
         self._tasks = tasks
         self._resolving: set[Run] = set()
+        # Confirmed runs whose stop orders may have ended them.
+        self._stopped: set[Run] = set()
         # Orphaned runs that the newest list leaves out.
         self._orphans: dict[TaskId, Run] = {}
         self._loop = asyncio.get_running_loop()
@@ -130,6 +133,12 @@
         """Forget all orphaned runs."""
         self._orphans.clear()
 
+    def note_stopped(self, run: Run) -> None:
+        """Learn from a run that the worker has reported as stopped."""
+        if run in self._stopped:
+            self._stopped.discard(run)
+            self._listing_delay.note_stopped_at_work()
+
     def resolve(self, run: Run) -> None:
         """Begin to find out about a run, unless that has begun."""
         if run not in self._resolving:
@@ -139,12 +148,14 @@
     async def _resolve(self, run: Run) -> None:
         try:
             if run.confirmed_at is not None:
-                await asyncio.sleep(LISTING_DELAY_S)
+                await asyncio.sleep(self._listing_delay.delay_s)
             if not await self._poll():
                 log.info("start_in_doubt worker=%s task=%s", self._worker_id, run.task)
                 return
             if not self._is_in_doubt(run):
                 return
+            if run.confirmed_at is not None:
+                self._stopped.add(run)
             if not await self._stop(run):
                 log.info("start_in_doubt worker=%s task=%s", self._worker_id, run.task)
                 return
@@ -153,6 +164,7 @@
             await self._poll()
         finally:
             self._resolving.discard(run)
+            self._stopped.discard(run)
 
     def _is_in_doubt(self, run: Run) -> bool:
         """Return whether a run was never confirmed, or is missing in the newest list."""
--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -18,6 +18,7 @@
     MAX_ANSWER_TIMEOUT_S,
     MAX_LOOP_LAG_S,
     AnswerLossDetector,
+    ListingDelayEstimator,
     choose_long_poll_wait_s,
     choose_order_retry_s,
     is_record_missing,
@@ -71,6 +72,7 @@
     :param observer: receives the events of the session.
     :param fence: fencing token of the owner.
     :param loss_detector: shared by the owner's sessions, detects lost answers.
+    :param listing_delay: shared by the owner's sessions.
     :param unanswered_orders: shared by the owner's sessions.
     :param renew_only_adopted: renew no leases while the worker has orphaned runs.
     :ivar orphaned_runs: number of each reported run that belongs to no known job, by task.
@@ -93,6 +95,7 @@
         fence: int,
         limits: Limits,
         loss_detector: AnswerLossDetector,
+        listing_delay: ListingDelayEstimator,
         unanswered_orders: UnansweredOrders,
         renew_only_adopted: bool = False,
     ) -> None:
@@ -148,6 +151,7 @@
             poll=self._poll_once,
             stop=self._stop_run,
             on_missing=observer.on_run_missing,
+            listing_delay=listing_delay,
             stop_timeout_s=limits.stop_timeout_s,
             tasks=self._tasks,
         )
@@ -765,6 +769,8 @@
         if run is None or run.number != row.run:
             self._observer.on_orphaned_run_ended(row.task, row.kind)
         else:
+            if row.kind is EndKind.STOPPED:
+                self._runs_in_doubt.note_stopped(run)
             self._remove_run(run, _outcome_of(row.kind), EndCause.REPORTED)
         if row.kind is EndKind.DONE:
             release = functools.partial(self._release_end, row.number)
--- a/zincwell/dispatch/decisions/__init__.py
+++ b/zincwell/dispatch/decisions/__init__.py
@@ -59,7 +59,11 @@
     choose_long_poll_wait_s,
     min_poll_interval_s,
 )
-from zincwell.dispatch.decisions._run_ends import MissingRun, judge_missing_run
+from zincwell.dispatch.decisions._run_ends import (
+    ListingDelayEstimator,
+    MissingRun,
+    judge_missing_run,
+)
 from zincwell.dispatch.decisions._run_time_estimates import SLOW_WORKER_RATIO, RunTimeEstimator
 from zincwell.dispatch.decisions._stragglers import (
     MIN_PROGRESS_PERCENT,
@@ -118,6 +122,7 @@
     "DomainSize",
     "FreeCores",
     "LateJobDecision",
+    "ListingDelayEstimator",
     "MissingRun",
     "OfferedLoad",
     "QueueSimulation",
--- a/zincwell/dispatch/decisions/_run_ends.py
+++ b/zincwell/dispatch/decisions/_run_ends.py
@@ -11,6 +11,26 @@
 
 import enum
 
+# A run that was confirmed may be listed this much later, so that it need not be stopped.
+FIRST_LISTING_DELAY_S = 0.05
+# A lease lasts as long; a run that no list names for longer has ended.
+MAX_LISTING_DELAY_S = 1.0
+
+
+class ListingDelayEstimator:
+    """Estimates how long after its start a run may be missing in its worker's lists.
+
+    Workers of one kind are behind by the same time. If that is longer than the estimate, each run
+    would be stopped and started elsewhere again and again.
+    """
+
+    def __init__(self) -> None:
+        self.delay_s = FIRST_LISTING_DELAY_S
+
+    def note_stopped_at_work(self) -> None:
+        """Double the estimate, since a run that was missing for so long was at work."""
+        self.delay_s = min(2 * self.delay_s, MAX_LISTING_DELAY_S)
+
 
 class MissingRun(enum.Enum):
     """What a list says of a run that it leaves out.
