--- a/tests/test_review_of_run_ends.py
+++ b/tests/test_review_of_run_ends.py
@@ -239,3 +239,34 @@
         answer_at_once(worker)
     job = submit(world, other_than(world, *world.owners()), "job", count=2, run_ms=RUN_MS)
     await expect_success(job)
+
+
+@pytest.mark.parametrize("count", [60, 200])
+async def test_a_list_that_leaves_out_many_runs_does_not_cause_a_poll_for_each(
+    world: World, monkeypatch: pytest.MonkeyPatch, count: int
+):
+    # Guards against polls that follow each other without the pause between polls of one worker.
+    worker = await open_pool(world, sends_born=False)
+    request = make_job("job", count=count, run_ms=2000)
+    step = msgspec.structs.replace(request.steps[0], cpu=100, memory_mb=1)
+    request = msgspec.structs.replace(request, steps=[step])
+    world.cpu_by_job["job"] = 100
+    world.run_s_by_job["job"] = 2.0
+    use_only(world, worker, for_s=0.5)
+    job = asyncio.ensure_future(world.run_job(other_than(world, *world.owners()), request))
+    await asyncio.sleep(0.5)
+    assert_that(worker.runs, HasLength(count))
+    hold, polls = FakeWorker.hold, []
+
+    async def note(target: FakeWorker, *arguments):
+        polls.append(target.info.id)
+        return await hold(target, *arguments)
+
+    monkeypatch.setattr(FakeWorker, "hold", note)
+    await leave_out_runs(worker, for_s=0.003)
+    polls.clear()
+    await asyncio.sleep(0.2)
+    most = 0.2 / owner_of(world).min_poll_interval_s() + 2
+    assert_that(polls.count(worker.info.id), LessThan(most))
+    await expect_success(job)
+    assert_that(world.starts, HasLength(count))
