Share the polls for runs in doubt

A list that left out many runs caused a poll for each of them: 61 polls of one worker within 0.2 s for 60 runs, each with an answer that lists all runs, where the owner's interval between polls allows 8.

All runs in doubt on a worker now share the next poll, which keeps that interval.

--- a/zincwell/dispatch/_runs_in_doubt.py
+++ b/zincwell/dispatch/_runs_in_doubt.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
 
 from zincwell.dispatch._background import BackgroundTasks
@@ -18,6 +19,48 @@
 CLOCK_RESOLUTION_S = 0.002
 
 
+class SharedPolls:
+    """Polls of one worker that are shared by all who ask for one before it begins.
+
+    One list may leave out hundreds of runs, and each answer lists all runs.
+
+    :param poll: see `RunsInDoubt`.
+    """
+
+    def __init__(
+        self,
+        *,
+        poll: Callable[[], Awaitable[bool]],
+        min_interval_s: Callable[[], float],
+        tasks: BackgroundTasks,
+    ) -> None:
+        self._poll = poll
+        self._min_interval_s = min_interval_s
+        self._tasks = tasks
+        self._next: asyncio.Future[bool] | None = None
+        self._began_at = -math.inf
+        self._loop = asyncio.get_running_loop()
+
+    async def poll(self) -> bool:
+        """Wait for a poll that begins from now on; return its result."""
+        if self._next is None:
+            self._next = self._loop.create_future()
+            self._tasks.spawn(self._poll_next())
+        return await self._next
+
+    async def _poll_next(self) -> None:
+        # Others that wait for the same time join in this iteration of the event loop.
+        await asyncio.sleep(max(self._began_at + self._min_interval_s() - self._loop.time(), 0.0))
+        waiting, self._next = self._next, None
+        self._began_at = self._loop.time()
+        has_answered = False
+        try:
+            has_answered = await self._poll()
+        finally:
+            if not waiting.done():
+                waiting.set_result(has_answered)
+
+
 class RunsInDoubt:
     """Finds out whether runs that a worker does not list are active, and ends the doubt if not.
 
@@ -27,6 +70,7 @@
 
     :param is_known: returns whether a run still counts as one of the worker.
     :param poll: polls the worker once; returns whether it has answered by a new list of runs.
+    :param min_poll_interval_s: returns the shortest interval in seconds between polls.
     :param stop: sends a stop order; returns whether the worker has answered it.
     :param on_missing: called for each run that a list leaves out.
     :param listing_delay: shared by the owner's sessions.
@@ -40,6 +84,7 @@
         worker_id: str,
         is_known: Callable[[Run], bool],
         poll: Callable[[], Awaitable[bool]],
+        min_poll_interval_s: Callable[[], float],
         stop: Callable[[Run], Awaitable[bool]],
         on_missing: Callable[[], None],
         listing_delay: ListingDelayEstimator,
@@ -48,7 +93,7 @@
     ) -> None:
         self._worker_id = worker_id
         self._is_known = is_known
-        self._poll = poll
+        self._polls = SharedPolls(poll=poll, min_interval_s=min_poll_interval_s, tasks=tasks)
         self._stop = stop
         self._on_missing = on_missing
         self._stop_timeout_s = stop_timeout_s * (1 + MAX_CLOCK_DRIFT_RATE)
@@ -149,7 +194,7 @@
         try:
             if run.confirmed_at is not None:
                 await asyncio.sleep(self._listing_delay.delay_s)
-            if not await self._poll():
+            if not await self._polls.poll():
                 log.info("start_in_doubt worker=%s task=%s", self._worker_id, run.task)
                 return
             if not self._is_in_doubt(run):
@@ -161,7 +206,7 @@
                 return
             log.info("start_voided worker=%s task=%s run=%d", self._worker_id, run.task, run.number)
             await asyncio.sleep(self._stop_timeout_s + CLOCK_RESOLUTION_S)
-            await self._poll()
+            await self._polls.poll()
         finally:
             self._resolving.discard(run)
             self._stopped.discard(run)
--- a/zincwell/dispatch/_worker_session.py
+++ b/zincwell/dispatch/_worker_session.py
@@ -149,6 +149,7 @@
             worker_id=info.id,
             is_known=lambda run: self.runs.get(run.task) is run,
             poll=self._poll_once,
+            min_poll_interval_s=observer.min_poll_interval_s,
             stop=self._stop_run,
             on_missing=observer.on_run_missing,
             listing_delay=listing_delay,
@@ -345,7 +346,7 @@
     async def _poll_once(self) -> bool:
         """Poll the worker beside the polls that follow each other.
 
-        Returns whether it has answered by a list that is not older than one before.
+        Returns whether it has answered by a list that tells which runs are missing.
         """
         try:
             return await self._hold(0.0)
@@ -597,8 +598,7 @@
         if self._loop.time() - self.last_answer_at > HELD_TIMEOUT_S:
             self.held = False
         # The owner that a worker follows instead may renew the leases of its runs.
-        has_runs = self.runs or self.orphaned_runs
-        if has_runs and not self.fenced and self._calls.have_leases_expired():
+        if self.runs and not self.fenced and self._calls.have_leases_expired():
             self._abandon_expired_runs()
 
     def _handle_poll_failure(self) -> None:
@@ -669,7 +669,7 @@
         return min(remaining_s, default=None)
 
     async def _hold(self, wait_s: float, *, answer_timeout_s: float = MAX_ANSWER_TIMEOUT_S) -> bool:
-        """Poll the worker and apply its answer; return whether its list of runs is a new one."""
+        """Poll the worker and apply its answer; return whether it tells which runs are missing."""
         sent_at = self._loop.time()
         reply = await self._calls.hold(
             renew_leases=self._may_renew_leases(), wait_s=wait_s, answer_timeout_s=answer_timeout_s
@@ -699,7 +699,7 @@
         return not self._renew_only_adopted or (self.held and not self.orphaned_runs)
 
     def _apply_reply(self, reply: HoldReply, sent_at: float) -> bool:
-        """Apply an answer to a poll; return whether its list of runs is a new one."""
+        """Apply an answer to a poll; return whether its list tells which runs are missing."""
         now = self._loop.time()
         for row in sorted(reply.ended, key=lambda row: row.number):
             if row.number > self._ends.processed:
@@ -716,7 +716,7 @@
             self._review_missing_runs(reply, sent_at)
         self._void_earlier_orders()
         self._observer.on_progress_reported(self, reply.clock_ms)
-        return True
+        return not reply.has_more_ended
 
     def _review_missing_runs(self, reply: HoldReply, sent_at: float) -> None:
         """Review the runs that the worker lists neither as active nor as ended."""
