--- a/zincwell/dispatch/_node.py
+++ b/zincwell/dispatch/_node.py
@@ -55,7 +55,6 @@
 from zincwell.dispatch._pending_jobs import PendingJobTracker
 from zincwell.dispatch._reachability import ReachabilityMonitor
 from zincwell.dispatch._router import OwnerRouter
-from zincwell.dispatch._stored_reports import StoredReports
 from zincwell.dispatch._term_confirmation import TermConfirmation
 from zincwell.dispatch._topic_follower import TopicFollower
 from zincwell.dispatch._types import (
@@ -229,13 +228,6 @@
             limits=self._limits,
             clock=self._clock,
         )
-        self._stored_reports = StoredReports(
-            store=self._store,
-            cell_directory=self._cell_directory,
-            worker_reports=self._worker_reports,
-            get_owner=lambda: self._owner,
-            on_usable=self._on_workers,
-        )
         self._term_confirmation = TermConfirmation(
             store=self._store,
             directory=self._directory,
@@ -263,7 +255,6 @@
             ("liveness", self._write_liveness_forever),
             ("layout", self._check_layout_forever),
             ("worker_list_reading", self._update_worker_list_reading_forever),
-            ("stored_reports", self._stored_reports.run),
         ):
             self._tasks.keep_running(loop, name=name)
 
@@ -411,8 +402,7 @@
 
     def _on_workers(self) -> None:
         if self._owner is not None:
-            listed = self._worker_list.listed_by_id
-            self._owner.set_workers(self._stored_reports.choose_usable(listed))
+            self._owner.set_workers(self._worker_list.listed_by_id)
 
     def _has_service(self, service: str) -> bool:
         """Return whether the configuration has a service; True while no configuration is known."""
@@ -873,10 +863,9 @@
         )
         self._update_worker_list_reading()
         self._worker_list.request_read()
-        self._on_workers()
+        self._owner.set_workers(self._worker_list.listed_by_id)
         self._owner.probe_unlisted_workers(self._worker_list.recently_lapsed())
         self._owner.probe_unlisted_workers(previous_workers)
-        self._stored_reports.begin_term()
         self.pending_jobs.note_unsent(
             self._directory.withdraw_jobs(owners=self._router.owner_names())
         )
@@ -888,17 +877,17 @@
         if not self.election.previous_fence:
             return EntryLoss()
         within_s = SILENT_OWNER_HAS_ENDED_JOBS_S
-        age_s = self._loop.time() - self._opened_at
-        if not may_have_left_runs(silence_s=self.election.previous_silence_s, listened_s=age_s):
-            return EntryLoss()
         # The process before this one may have had callers.
-        is_new = age_s < within_s
+        is_new = self._loop.time() - self._opened_at < within_s
+        was_heard = may_have_left_runs(silence_s=self.election.previous_silence_s)
+        if not is_new and not was_heard:
+            return EntryLoss()
         previous = self.election.previous_owner
         alive = [*self.election.successors, previous.name if previous is not None else ""]
         others_lost = is_new or self._directory.has_lost_entries(alive=alive, within_s=within_s)
         return EntryLoss(
             callers_may_return=others_lost or not self.election.previous_owner_left,
-            left_runs=others_lost,
+            left_runs=others_lost and was_heard,
         )
 
     def _close_owner(self) -> None:
--- a/zincwell/dispatch/_owner.py
+++ b/zincwell/dispatch/_owner.py
@@ -301,10 +301,6 @@
         self._workers.probe_unlisted(infos)
         self._note_workers()
 
-    def workers_in_use(self) -> list[WorkerInfo]:
-        """Return all workers that may be running tasks of this owner, listed or not."""
-        return [session.info for session in self._workers.sessions_by_id.values()]
-
     def unlisted_workers(self) -> list[WorkerInfo]:
         """Return the workers that have left the list, but may be running tasks."""
         return self._workers.unlisted()
--- a/zincwell/dispatch/_worker_reports.py
+++ b/zincwell/dispatch/_worker_reports.py
@@ -61,11 +61,6 @@
         """Return the workers that the newest known report names."""
         return self._previous.workers()
 
-    def listed_workers(self) -> list[WorkerInfo]:
-        """Return the listed workers of the home cell."""
-        snapshot = self._worker_list.make_snapshot(self._cell_directory.home)
-        return snapshot.workers if snapshot is not None else []
-
     def missing_fence(self) -> int:
         """Return the fencing token of the previous owner if its report is missing, else 0."""
         return self._previous.missing_fence()
--- a/zincwell/dispatch/decisions/_worker_knowledge.py
+++ b/zincwell/dispatch/decisions/_worker_knowledge.py
@@ -2,8 +2,7 @@
 
 Load condition: some workers lose the path to the store, but not to the entries. Their list entries
 expire although the workers run on, and the owner goes on using them. A successor that has started
-since then has never seen them listed, and would start their tasks a second time. All entries may
-have ended together, so that nobody can tell it of them, and callers are back 1.3 s after the loss.
+since then has never seen them listed, and would start their tasks a second time.
 """
 
 from __future__ import annotations
@@ -29,13 +28,9 @@
     return listed_at - reported_at < entry_expiry_s
 
 
-def may_have_left_runs(*, silence_s: float, listened_s: float) -> bool:
+def may_have_left_runs(*, silence_s: float) -> bool:
     """Return whether runs of the previous owner may be active when its successor is elected.
 
-    A successor that has just started doesn't know how long the owner was silent before: it may have
-    ended a moment ago, together with all entries that have heard it.
-
     :param silence_s: time since any entry has heard the previous owner.
-    :param listened_s: age of the successor's process.
     """
-    return min(silence_s, listened_s) < SILENT_OWNER_HAS_ENDED_JOBS_S
+    return silence_s < SILENT_OWNER_HAS_ENDED_JOBS_S
--- a/zincwell/dispatch/ports.py
+++ b/zincwell/dispatch/ports.py
@@ -51,7 +51,6 @@
     CLAIMS = enum.auto()
     ENTRIES = enum.auto()
     LIVENESS = enum.auto()
-    WORKER_RECORDS = enum.auto()
 
 
 class StoreRecord(Struct, frozen=True, kw_only=True):
--- a/zincwell/platform/_store.py
+++ b/zincwell/platform/_store.py
@@ -41,7 +41,6 @@
     Topic.CLAIMS: "keyed.zincwell",
     Topic.ENTRIES: "keyed.zincwell-entries",
     Topic.LIVENESS: "keyed.zincwell-liveness",
-    Topic.WORKER_RECORDS: "keyed.zincwell-workers",
 }
 CONFIGURATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
