--- a/zincwell/dispatch/_runs_in_doubt.py
+++ b/zincwell/dispatch/_runs_in_doubt.py
@@ -69,7 +69,7 @@
     Without this, the task would wait for the deadline of its order or for the end of its lease.
 
     :param is_known: returns whether a run still counts as one of the worker.
-    :param poll: polls the worker once; returns whether it has answered by a new list of runs.
+    :param poll: polls the worker once; returns whether its answer tells which runs are missing.
     :param min_poll_interval_s: returns the shortest interval in seconds between polls.
     :param stop: sends a stop order; returns whether the worker has answered it.
     :param on_missing: called for each run that a list leaves out.
@@ -127,14 +127,14 @@
             if run.task not in listed
         }
         missing = [run for run, verdict in verdicts.items() if verdict is not MissingRun.UNKNOWN]
-        ended = [run for run in missing if verdicts[run] is MissingRun.ENDED]
         for run in missing:
-            if not run.missing or run in ended:
+            has_ended = verdicts[run] is MissingRun.ENDED
+            if has_ended or not run.missing:
                 self._log(run, asked_at, missing=len(missing))
             run.missing = True
-            if run not in ended:
+            if not has_ended:
                 self.resolve(run)
-        return ended
+        return [run for run in missing if verdicts[run] is MissingRun.ENDED]
 
     def _judge(self, run: Run, *, asked_at: float, may_start: Callable[[Run], bool]) -> MissingRun:
         if run.ended_with_incarnation:
