Keep a done task done when a run of it is found

A job could end as succeeded before all of its tasks were done, or a done task start again: a job that is sent again marks the tasks of runs that are still stopping as running, also those that its entry reports as done, and each of them was counted as done once more at the end of its run. Found by reading.

Measured: test_a_done_task_whose_run_is_found_is_not_counted_twice failed before and passes.

--- a/tests/test_one_term.py
+++ b/tests/test_one_term.py
@@ -8,8 +8,9 @@
 from testtools.assertions import assert_that
 from testtools.matchers import Equals, HasLength
 
-from tests.dispatch_world import FakeWorkerClient, World
+from tests.dispatch_world import FakeWorkerClient, World, make_job
 from tests.pool_jobs import finish, submit, verdicts
+from zincwell.dispatch._jobs import Job, TaskState
 from zincwell.dispatch._types import Verdict
 from zincwell.dispatch.ports import Topic, WorkerCallError
 
@@ -87,3 +88,17 @@
     await finish(jobs)
     assert_that(verdicts(jobs), Equals({Verdict.SUCCEEDED}))
     assert_that(world.topics[Topic.CLAIMS], HasLength(1))
+
+
+async def test_a_done_task_whose_run_is_found_is_not_counted_twice():
+    # Guards against a job that ends as succeeded before all of its tasks are done: a run of a task
+    # that its entry knows to be done is still stopping when the job is sent again.
+    job = Job(
+        request=make_job("job", count=2), arrived_at=0.0, possibly_started=False, accepted_at=0.0
+    )
+    task = job.tasks[0][0]
+    job.mark_done(task)
+    job.mark_running(task)
+    job.mark_done(task)
+    assert_that(task.state, Equals(TaskState.DONE))
+    assert_that(job.is_complete(), Equals(False))
--- a/zincwell/dispatch/_jobs.py
+++ b/zincwell/dispatch/_jobs.py
@@ -157,7 +157,9 @@
         ]
 
     def mark_running(self, task: Task) -> None:
-        """Mark a task as running, after a run was ordered or found."""
+        """Mark a task as running, after a run was ordered or found, unless it is done."""
+        if task.state is TaskState.DONE:
+            return
         if task.state is TaskState.WAITING:
             self.waiting -= 1
         task.state = TaskState.RUNNING
